--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,5 @@
+// Entry point of the ebonywick binary.
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/libs/base/hashing.h
@@ -0,0 +1,15 @@
+// Hashes that every host computes alike.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace ebonywick {
+
+/// 64-bit XXH3 hash; equal on all hosts.
+[[nodiscard]] std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0);
+
+/// Weight of `candidate` for `key` in rendezvous hashing; the largest wins.
+[[nodiscard]] std::uint64_t rendezvous_weight(std::string_view key, std::string_view candidate);
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/membership/hoststate.h
@@ -0,0 +1,38 @@
+// What is known of a host of the system.
+#pragma once
+
+#include "base/clock.h"
+#include "base/identifiers.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace ebonywick {
+
+enum class host_status { joining, serving, leaving, down };
+
+/// One piece of news about a host. A larger (incarnation, sequence) is newer.
+struct member_update
+{
+    host_id host;
+    incarnation_number incarnation = 0;
+    std::uint32_t sequence = 0;
+    host_status status = host_status::joining;
+
+    auto operator<=>(const member_update&) const = default;
+};
+
+/// Confirmation by a witness of the newest versions that it knows.
+struct currency_token
+{
+    host_id witness;
+    incarnation_number incarnation = 0;
+    object_version config = 0;
+    object_version roster = 0;
+    // Upper bound of the time since the witness issued the token.
+    duration age = duration::zero();
+
+    auto operator<=>(const currency_token&) const = default;
+};
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/settings/declaration.h
@@ -0,0 +1,114 @@
+// The declarations that operators keep under version control: services, presets
+// and the preset in force.
+#pragma once
+
+#include "base/clock.h"
+#include "base/identifiers.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ebonywick {
+
+enum class request_class { interactive, batch };
+enum class yields_first { latency, coverage };
+
+/// An address as IP number and port, for example `127.0.0.1:7000`.
+struct endpoint
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const endpoint&) const = default;
+};
+
+[[nodiscard]] std::string to_string(const endpoint& address);
+/// Empty if `text` is not `IP:PORT`.
+[[nodiscard]] std::optional<endpoint> parse_endpoint(const std::string& text);
+
+/// One searcher as declared. It serves one shard of one service.
+struct searcher_declaration
+{
+    searcher_id id;
+    endpoint address;
+    failure_domain_id domain;
+    // Calls that the searcher runs at once when warm; at least 1.
+    std::uint32_t slots = 1;
+    // Connections that the searcher accepts in all.
+    std::uint32_t connections = 64;
+    // Calls at once that the searcher bears when cold; 1 to slots.
+    std::uint32_t cold_concurrency = 1;
+
+    auto operator<=>(const searcher_declaration&) const = default;
+};
+
+struct shard_declaration
+{
+    shard_name name;
+    std::vector<searcher_declaration> replicas;
+
+    auto operator<=>(const shard_declaration&) const = default;
+};
+
+/// The shards that a query must cover at one epoch.
+struct shard_map
+{
+    shard_map_epoch epoch = 1;
+    std::vector<shard_declaration> shards;
+
+    auto operator<=>(const shard_map&) const = default;
+};
+
+struct service_declaration
+{
+    service_name name;
+    request_class default_class = request_class::interactive;
+    yields_first yields = yields_first::latency;
+    // Share of the shards that an answer must cover, 0 to 1.
+    double least_coverage = 1.0;
+    // Sorted by epoch; more than one while a repartition is under way.
+    std::vector<shard_map> shard_maps;
+
+    auto operator<=>(const service_declaration&) const = default;
+};
+
+/// Policy values; one preset is in force. Ranges, units and help stand in
+/// policysettings.
+struct preset_declaration
+{
+    preset_name name;
+    duration deadline = std::chrono::milliseconds{1000};
+    // Hedges and retries per first attempt.
+    double hedge_budget = 0.025;
+    // Most queries that one entry host runs at once, interactive and batch.
+    std::uint32_t interactive_limit = 256;
+    std::uint32_t batch_limit = 64;
+    // Most batch requests that wait at one entry host.
+    std::uint32_t batch_queue = 1024;
+    // Queue wait at the gates above which the batch limit falls.
+    duration target_queue_wait = std::chrono::milliseconds{1};
+    std::vector<failure_domain_id> domains_out;
+
+    auto operator<=>(const preset_declaration&) const = default;
+};
+
+/// The content of the store object `ebonywick/config`.
+struct configuration
+{
+    std::vector<service_declaration> services;
+    std::vector<preset_declaration> presets;
+    preset_name preset_in_force;
+
+    [[nodiscard]] const service_declaration* find_service(const service_name& name) const;
+    /// The preset in force; the defaults if it is not declared.
+    [[nodiscard]] preset_declaration policy() const;
+    [[nodiscard]] bool is_domain_out(const failure_domain_id& domain) const;
+
+    auto operator<=>(const configuration&) const = default;
+};
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/wire/dispatchmessage.h
@@ -0,0 +1,64 @@
+// Messages of the dispatch socket as plain values.
+#pragma once
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/identifiers.h"
+#include "query/querycoordinator.h"
+#include "settings/declaration.h"
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace ebonywick {
+
+/// A call on its way from an entry host to the searcher's holder.
+struct call_request
+{
+    call_id id;
+    service_name service;
+    shard_name shard;
+    searcher_id searcher;
+    caller_id caller;
+    snapshot wanted;
+    request_class traffic = request_class::interactive;
+    bool idempotent = true;
+    // Time left when the message was written.
+    duration remaining = duration::zero();
+    // Sender's boot clock when the message was written.
+    time_point sent_at{};
+    std::string body;
+
+    auto operator<=>(const call_request&) const = default;
+};
+
+/// The end of a call on its way back.
+struct call_reply
+{
+    call_id id;
+    searcher_id searcher;
+    // Empty: answered.
+    std::optional<error_kind> failure;
+    snapshot from;
+    shard_name shard;
+    searcher_report report;
+    // Time that the call waited in the gate's queue.
+    duration waited = duration::zero();
+    std::string body;
+
+    auto operator<=>(const call_reply&) const = default;
+};
+
+struct call_cancel
+{
+    call_id id;
+    searcher_id searcher;
+
+    auto operator<=>(const call_cancel&) const = default;
+};
+
+using dispatch_message = std::variant<call_request, call_reply, call_cancel>;
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/wire/wireconversion.cpp
@@ -0,0 +1,2 @@
+// Conversion between protobuf messages and plain values.
+#include "wire/wireconversion.h"
--- /dev/null
+++ b/src/libs/wire/wireconversion.h
@@ -0,0 +1,31 @@
+// Conversion between protobuf messages and the plain values of the decisions.
+#pragma once
+
+#include "base/error.h"
+#include "membership/membershipagent.h"
+#include "wire/dispatchmessage.h"
+
+#include <string>
+#include <string_view>
+
+namespace ebonywick {
+
+/// Serialized form; the sender is in the message's `from`.
+[[nodiscard]] std::string encode_control(const host_id& from, const control_message& message);
+/// Empty if the bytes are not a valid message.
+[[nodiscard]] std::optional<control_message> decode_control(std::string_view bytes);
+
+struct received_dispatch
+{
+    host_id from;
+    incarnation_number incarnation = 0;
+    dispatch_message message;
+
+    auto operator<=>(const received_dispatch&) const = default;
+};
+
+[[nodiscard]] std::string encode_dispatch(const host_id& from, incarnation_number incarnation,
+                                          const dispatch_message& message);
+[[nodiscard]] std::optional<received_dispatch> decode_dispatch(std::string_view bytes);
+
+} // namespace ebonywick
