--- a/src/libs/wire/wireconversion.h
+++ b/src/libs/wire/wireconversion.h
@@ -5,6 +5,7 @@
 #include "membership/membershipagent.h"
 #include "wire/dispatchmessage.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
