--- a/src/libs/dispatch/searchergate.h
+++ b/src/libs/dispatch/searchergate.h
@@ -46,7 +46,8 @@
 /// State that a searcher reports about itself.
 enum class reported_state { unknown, cold, warm, leaving };
 
-/// A link finished a call.
+/// A link finished a call. A call that the link did not send because it was not
+/// allowed to is `cancelled` with zero latency. Ignored if the call has ended.
 struct call_completed
 {
     call_id id;
@@ -124,7 +125,8 @@
     auto operator<=>(const start_call&) const = default;
 };
 
-/// Ends the call at the gate; `reason.kind` says whether it may have run.
+/// Ends the call at the gate; `reason.kind` says whether it may have run. Each
+/// offered call ends by either this action or its call_completed.
 struct reject_call
 {
     call_id id;
@@ -184,10 +186,15 @@
     searcher_gate(const searcher_gate&) = delete;
     searcher_gate& operator=(const searcher_gate&) = delete;
 
-    /// Takes over changed slots, connections or cold concurrency.
+    /// Takes over changed slots, connections or cold concurrency. A searcher with
+    /// another address needs a new gate.
     std::vector<gate_action> configure(const searcher_declaration& searcher, time_point now);
     std::vector<gate_action> handle(const gate_event& ev, time_point now);
 
+    /// Median call time of the searcher's service, which the ramp compares with.
+    /// Zero: unknown; every reply then counts as timely.
+    void set_group_median(duration median);
+
     [[nodiscard]] std::uint32_t in_flight() const;
     [[nodiscard]] std::uint32_t queued() const;
     [[nodiscard]] std::uint32_t limit() const;
