--- a/src/libs/query/outcome.h
+++ b/src/libs/query/outcome.h
@@ -56,4 +56,7 @@
 
 using query_outcome = std::variant<answered, not_run, unknown_outcome>;
 
+/// One line for the log, without the hits.
+[[nodiscard]] std::string to_string(const query_outcome& outcome);
+
 } // namespace ebonywick
--- a/src/libs/query/querycoordinator.h
+++ b/src/libs/query/querycoordinator.h
@@ -103,13 +103,21 @@
 
 using query_action = std::variant<send_call, cancel_call, set_timer, finish_query>;
 
+/// One line for the decision log.
+[[nodiscard]] std::string to_string(const query_action& act);
+
 /// What a query needs to know when it starts.
 struct query_plan
 {
     request_id id;
-    service_declaration service;
+    // Shared by the queries that run under one configuration; not null.
+    std::shared_ptr<const service_declaration> service;
     request_class traffic = request_class::interactive;
+    // The caller's deadline.
     time_point deadline;
+    // Start of the query plus the preset's `deadline`. Empty or later than
+    // `deadline`: none.
+    std::optional<time_point> latency_goal;
 
     auto operator<=>(const query_plan&) const = default;
 };
@@ -127,6 +135,8 @@
     /// First actions; called once.
     std::vector<query_action> start(time_point now);
     std::vector<query_action> handle(const query_event& ev, time_point now);
+    /// Takes the hits out of `ev` instead of copying them.
+    std::vector<query_action> handle(query_event&& ev, time_point now);
     [[nodiscard]] bool finished() const;
 
 private:
--- /dev/null
+++ b/src/libs/query/replicaselector.cpp
@@ -0,0 +1,324 @@
+// Choice of snapshot and replica from this host's own observations.
+#include "query/replicaselector.h"
+
+#include "query/querycoordinator.h"
+#include "query/replicatable.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace ebonywick {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Share of the calls that do not ask for a hedge.
+constexpr double hedge_quantile = 0.985;
+// A shorter delay would hedge calls that only wait for the scheduler.
+constexpr duration least_hedge_delay = 1ms;
+// Fewer samples give no 0.985 quantile.
+constexpr std::uint64_t least_samples = 64;
+// The quantile costs a scan of the histogram, so it is renewed only now and then.
+constexpr std::uint32_t samples_per_refresh = 64;
+constexpr double average_weight = 0.1;
+// Assumed for the score as long as no call has been timed.
+constexpr double default_average_ns = 1e6;
+// Hedging stays off for this long after the last refusal for load.
+constexpr duration shedding_hold = 100ms;
+// A leaving searcher is asked again after this time, because only a reply can tell
+// that it has returned; its gate refuses the call while it is still leaving.
+constexpr duration leaving_hold = 2s;
+// A probe of a searcher whose versions are unknown or older than this.
+constexpr duration probe_interval = 1s;
+// A searcher that refused for load or failed is avoided for this long. The time of a
+// failure doubles with each failure in a row, up to the time of a handover.
+constexpr duration overload_hold = 10ms;
+constexpr duration failure_hold = 100ms;
+constexpr duration longest_failure_hold = 2s;
+
+duration failure_time(std::uint32_t failures)
+{
+    return std::min(longest_failure_hold, failure_hold * (1U << std::min(failures, 5U)));
+}
+
+enum tier : std::uint8_t { preferred, avoided, last_resort, not_eligible };
+
+} // namespace
+
+struct replica_selector::state
+{
+    explicit state(std::uint64_t seed) : random(seed) {}
+
+    [[nodiscard]] tier tier_of(const replica_record& record, snapshot wanted) const;
+    [[nodiscard]] bool wants_probe(const replica_record& record) const;
+    [[nodiscard]] double score(const replica_record& record) const;
+    replica_table::index draw(std::span<const replica_table::index> candidates);
+    void add_sample(replica_record& record, duration latency);
+
+    replica_table table;
+    random_source random;
+    latency_window window;
+    time_point now{};
+    time_point shed_until{};
+    time_point explore_at{};
+    duration delay = duration::zero();
+    std::uint32_t samples_since_refresh = 0;
+    // Moving average over all searchers; stands in for one without samples.
+    double group_average_ns = default_average_ns;
+    // Answers of newest_complete; renewed when an observation changes them.
+    std::vector<snapshot> complete;
+    time_point complete_until = time_point::min();
+};
+
+tier replica_selector::state::tier_of(const replica_record& record, snapshot wanted) const
+{
+    if (!record.is_usable(now))
+        return not_eligible;
+    const bool out_of_favour = record.avoided_until > now;
+    if (wanted.version == 0 || record.holds(wanted))
+        return out_of_favour ? avoided : preferred;
+    return record.versions_known ? not_eligible : last_resort;
+}
+
+bool replica_selector::state::wants_probe(const replica_record& record) const
+{
+    // An old list of versions is as good as none: a searcher that has moved to a new
+    // version is no longer asked for the old one, so no reply would tell.
+    return now != time_point{} && now >= record.probe_at && record.is_usable(now) &&
+           record.avoided_until <= now && now - record.versions_at >= probe_interval;
+}
+
+double replica_selector::state::score(const replica_record& record) const
+{
+    const double average = record.average_ns > 0.0 ? record.average_ns : group_average_ns;
+    const double load = double(record.outstanding) + double(record.reported_queue) / 2.0 + 1.0;
+    // A cold searcher takes fewer calls at once, so each outstanding one weighs more.
+    return average * load * (record.cold ? record.cold_factor : 1.0);
+}
+
+replica_table::index replica_selector::state::draw(std::span<const replica_table::index> candidates)
+{
+    if (candidates.size() == 1)
+        return candidates.front();
+    const std::size_t first = random.below(candidates.size());
+    std::size_t second = random.below(candidates.size() - 1);
+    if (second >= first)
+        ++second;
+    const double a = score(table.at(candidates[first]));
+    const double b = score(table.at(candidates[second]));
+    return a <= b ? candidates[first] : candidates[second];
+}
+
+void replica_selector::state::add_sample(replica_record& record, duration latency)
+{
+    const auto sample = static_cast<double>(latency.count());
+    if (record.average_ns == 0.0)
+        record.average_ns = sample;
+    record.average_ns += average_weight * (sample - record.average_ns);
+    group_average_ns += average_weight * (sample - group_average_ns);
+    window.add(latency);
+    if (++samples_since_refresh < samples_per_refresh || window.sample_count() < least_samples)
+        return;
+    samples_since_refresh = 0;
+    delay = std::max(least_hedge_delay, window.quantile(hedge_quantile));
+}
+
+replica_selector::replica_selector(std::uint64_t seed) : state_(std::make_unique<state>(seed)) {}
+
+replica_selector::~replica_selector() = default;
+
+void replica_selector::advance(time_point now)
+{
+    state_->now = std::max(state_->now, now);
+}
+
+void replica_selector::configure(const service_declaration& service,
+                                 const std::vector<failure_domain_id>& domains_out)
+{
+    state_->table.configure(service, domains_out);
+    state_->complete_until = time_point::min();
+}
+
+void replica_selector::set_unreachable(const std::set<searcher_id>& searchers)
+{
+    for (replica_record& record : state_->table.records())
+        record.unreachable = searchers.contains(record.id);
+    state_->complete_until = time_point::min();
+}
+
+std::optional<snapshot> replica_selector::newest_complete(index_version above) const
+{
+    state& st = *state_;
+    if (st.now >= st.complete_until) {
+        st.complete = st.table.complete_snapshots(st.now);
+        st.complete_until = st.table.next_leaving_end(st.now);
+    }
+    if (st.complete.empty() || st.complete.front().version <= above)
+        return std::nullopt;
+    return st.complete.front();
+}
+
+std::optional<shard_map_epoch> replica_selector::take_unexplored_epoch()
+{
+    state& st = *state_;
+    const std::optional<snapshot> known = newest_complete();
+    if (!known || known->epoch >= st.table.newest_epoch() || st.now < st.explore_at)
+        return std::nullopt;
+    st.explore_at = st.now + probe_interval;
+    return st.table.newest_epoch();
+}
+
+std::optional<replica_choice> replica_selector::choose(const shard_name& shard, snapshot wanted,
+                                                       std::span<const searcher_id> excluded)
+{
+    state& st = *state_;
+    const std::span<const replica_table::index> replicas =
+        st.table.replicas_of(shard, wanted.epoch);
+    std::array<replica_table::index, 16> candidates{};
+    std::size_t count = 0;
+    tier best = not_eligible;
+    std::optional<replica_table::index> probe;
+    for (const replica_table::index it : replicas) {
+        const replica_record& record = st.table.at(it);
+        if (std::find(excluded.begin(), excluded.end(), record.id) != excluded.end())
+            continue;
+        const tier rank = st.tier_of(record, wanted);
+        if (rank >= last_resort && excluded.empty() && st.wants_probe(record))
+            probe = it;
+        if (rank == not_eligible || rank > best || (rank == best && count == candidates.size()))
+            continue;
+        if (rank < best)
+            count = 0;
+        best = rank;
+        candidates[count++] = it;
+    }
+    if (count == 0 && !probe)
+        return std::nullopt;
+    const replica_table::index chosen =
+        probe ? *probe : st.draw(std::span{candidates.data(), count});
+    if (probe)
+        st.table.at(chosen).probe_at = st.now + probe_interval;
+    replica_choice choice{st.table.at(chosen).id, {}};
+    choice.passed_over.reserve(replicas.size() - 1);
+    for (const replica_table::index it : replicas) {
+        if (it != chosen)
+            choice.passed_over.push_back(st.table.at(it).id);
+    }
+    return choice;
+}
+
+void replica_selector::call_sent(const searcher_id& searcher)
+{
+    if (replica_record* record = state_->table.find(searcher))
+        ++record->outstanding;
+}
+
+void replica_selector::call_ended(const searcher_id& searcher, std::optional<duration> latency)
+{
+    replica_record* record = state_->table.find(searcher);
+    if (record == nullptr)
+        return;
+    // The declaration may have dropped and restored the searcher meanwhile.
+    if (record->outstanding > 0)
+        --record->outstanding;
+    if (!latency)
+        return;
+    record->failures_in_a_row = 0;
+    record->avoided_until = time_point{};
+    state_->add_sample(*record, *latency);
+}
+
+void replica_selector::call_abandoned(const searcher_id& searcher, duration elapsed)
+{
+    call_ended(searcher, std::nullopt);
+    // A call that was cancelled early tells nothing about its time.
+    if (state_->delay == duration::zero() || elapsed < state_->delay)
+        return;
+    if (replica_record* record = state_->table.find(searcher))
+        state_->add_sample(*record, elapsed);
+}
+
+void replica_selector::observe_failure(const searcher_id& searcher, error_kind kind,
+                                       snapshot wanted)
+{
+    state& st = *state_;
+    replica_record* record = st.table.find(searcher);
+    if (record == nullptr)
+        return;
+    switch (kind) {
+    case error_kind::version_not_held:
+        if (std::erase_if(record->versions, [&](const held_version& it) {
+                return it.version == wanted.version && (it.epoch == 0 || it.epoch == wanted.epoch);
+            }) > 0)
+            st.complete_until = time_point::min();
+        return;
+    case error_kind::searcher_leaving:
+        record->leaving_until = st.now + leaving_hold;
+        st.complete_until = time_point::min();
+        return;
+    case error_kind::overloaded:
+        record->avoided_until = std::max(record->avoided_until, st.now + overload_hold);
+        return;
+    case error_kind::cancelled:
+    case error_kind::deadline_too_short:
+        return;
+    case error_kind::reply_lost:
+    case error_kind::reply_invalid:
+    case error_kind::deadline_exceeded:
+        // One lost reply is the fault of a link rather than of the searcher.
+        if (++record->failures_in_a_row >= 2)
+            record->avoided_until = st.now + failure_time(record->failures_in_a_row - 2);
+        return;
+    default:
+        record->avoided_until = st.now + failure_time(record->failures_in_a_row++);
+        return;
+    }
+}
+
+void replica_selector::observe_snapshot(const searcher_id& searcher, snapshot from)
+{
+    replica_record* record = state_->table.find(searcher);
+    if (record == nullptr)
+        return;
+    for (held_version& it : record->versions) {
+        if (it.version != from.version || it.epoch == from.epoch)
+            continue;
+        it.epoch = from.epoch;
+        state_->complete_until = time_point::min();
+    }
+}
+
+void replica_selector::observe(const searcher_report& report)
+{
+    state& st = *state_;
+    if (st.table.apply(report, st.now, leaving_hold))
+        st.complete_until = time_point::min();
+    if (report.shedding)
+        observe_shedding(st.now);
+}
+
+duration replica_selector::hedge_delay() const
+{
+    return state_->delay;
+}
+
+bool replica_selector::may_hedge(time_point now) const
+{
+    return now >= state_->shed_until;
+}
+
+bool replica_selector::is_cold(const searcher_id& searcher) const
+{
+    const replica_record* record = state_->table.find(searcher);
+    return record == nullptr || record->cold;
+}
+
+void replica_selector::observe_shedding(time_point now)
+{
+    advance(now);
+    state_->shed_until = std::max(state_->shed_until, now + shedding_hold);
+}
+
+} // namespace ebonywick
--- a/src/libs/query/replicaselector.h
+++ b/src/libs/query/replicaselector.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/error.h"
 #include "base/identifiers.h"
 #include "base/latencywindow.h"
 #include "base/randomsource.h"
@@ -36,6 +37,11 @@
     replica_selector(const replica_selector&) = delete;
     replica_selector& operator=(const replica_selector&) = delete;
 
+    /// Sets the time for the rules that depend on it: how long a failed or leaving
+    /// searcher is avoided, and how often a searcher of unknown state is probed.
+    /// The coordinator calls it; without a call these rules see no time pass.
+    void advance(time_point now);
+
     /// Takes over the declaration and the failure domains that are out.
     void configure(const service_declaration& service,
                    const std::vector<failure_domain_id>& domains_out);
@@ -46,13 +52,28 @@
     /// above `above`; empty if none is known.
     [[nodiscard]] std::optional<snapshot> newest_complete(index_version above = 0) const;
 
+    /// At most once a second: the epoch of a declared map that is newer than the map
+    /// of the newest complete snapshot. One query should ask its searchers for
+    /// their newest version, because nothing else tells this host what they hold.
+    [[nodiscard]] std::optional<shard_map_epoch> take_unexplored_epoch();
+
     /// A replica of `shard` for `wanted` (version 0: any), none of `excluded`.
+    /// Epoch 0 means the newest map that has the shard. A replica whose versions
+    /// are unknown is a last resort, except for one probe a second: without it a
+    /// replica would stay unused until every known holder had failed.
     [[nodiscard]] std::optional<replica_choice> choose(const shard_name& shard, snapshot wanted,
                                                        std::span<const searcher_id> excluded);
 
     void call_sent(const searcher_id& searcher);
     /// Ends one call that call_sent announced; `latency` only for replies.
     void call_ended(const searcher_id& searcher, std::optional<duration> latency);
+    /// Ends one call that was cancelled after `elapsed`. The call time is at least
+    /// that long; ignoring it would let the hedge delay sink with each hedge won.
+    void call_abandoned(const searcher_id& searcher, duration elapsed);
+    /// Notes why a call for `wanted` failed; call_ended is still to be called.
+    void observe_failure(const searcher_id& searcher, error_kind kind, snapshot wanted);
+    /// Notes that the searcher answered `from`, which tells the epoch of a version.
+    void observe_snapshot(const searcher_id& searcher, snapshot from);
     void observe(const searcher_report& report);
 
     /// Delay after which a call of this service is hedged; zero if unknown.
