store: add the object store client and its stand-in

Change: object_store_client over cpp-httplib with at most 16 kept connections for calls and 8 for watches; a write whose connection failed is refused, a write that was sent without a reply is lost. ebonywick-store-standin serves objects, watches and hosts, and injects outages, delays, lost replies and stale reads through POST /admin. Conclusion: node and operator client can be written against it.

--- /dev/null
+++ b/src/libs/store/objectstoreclient.cpp
@@ -0,0 +1,264 @@
+// HTTP interface of the platform's object store.
+#include "store/objectstoreclient.h"
+
+#include "store/connectionpool.h"
+
+#include <fmt/format.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace ebonywick {
+
+namespace {
+
+// One host needs few connections: at 100 to 150 orders a second in the whole
+// fleet and a few milliseconds for each call, one is rarely busy.
+constexpr std::size_t call_connections = 16;
+// Configuration, roster and some to spare.
+constexpr std::size_t watch_connections = 8;
+// stop() cannot interrupt a connection attempt, so that is kept short. It
+// exceeds the 1 s after which Linux repeats a lost SYN.
+constexpr duration longest_connect = std::chrono::milliseconds{1200};
+
+std::string object_path(const std::string& key)
+{
+    constexpr std::string_view plain = "-._~/";
+    std::string path = "/objects/";
+    for (const char it : key) {
+        const auto code = static_cast<unsigned char>(it);
+        const bool alphanumeric =
+            (it >= '0' && it <= '9') || (it >= 'a' && it <= 'z') || (it >= 'A' && it <= 'Z');
+        if (alphanumeric || plain.find(it) != std::string_view::npos)
+            path += it;
+        else
+            path += fmt::format("%{:02X}", code);
+    }
+    return path;
+}
+
+std::string quoted(object_version version)
+{
+    return fmt::format("\"{}\"", version);
+}
+
+/// 0 if the reply carries no version.
+object_version version_of(const httplib::Response& reply)
+{
+    const std::string tag = reply.get_header_value("ETag");
+    if (tag.size() < 3 || tag.front() != '"' || tag.back() != '"')
+        return 0;
+    object_version version = 0;
+    const char* last = tag.data() + tag.size() - 1;
+    const auto [end, ec] = std::from_chars(tag.data() + 1, last, version);
+    return ec == std::errc{} && end == last ? version : 0;
+}
+
+error unavailable(std::string_view call, std::string_view reason)
+{
+    return make_error(error_kind::store_unavailable,
+                      fmt::format("object store: {} failed: {}", call, reason));
+}
+
+std::string failure_text(httplib::Error failure)
+{
+    return httplib::to_string(failure);
+}
+
+/// True if the request cannot have left this host.
+bool nothing_sent(httplib::Error failure)
+{
+    return failure == httplib::Error::Connection || failure == httplib::Error::ConnectionTimeout ||
+           failure == httplib::Error::BindIPAddress;
+}
+
+put_result to_put_result(const httplib::Response& reply)
+{
+    const object_version version = version_of(reply);
+    if (reply.status == 200 || reply.status == 201) {
+        // Written, but the version is needed for the next update: read back.
+        if (version == 0)
+            return put_lost{};
+        return put_accepted{version};
+    }
+    if (reply.status == 412)
+        return put_mismatch{version};
+    const bool overloaded = reply.status == 429 || reply.status == 503;
+    if (overloaded || (reply.status >= 400 && reply.status < 500))
+        return put_refused{fmt::format("status {}", reply.status)};
+    // Other statuses, 500 and 504 among them, do not say whether the write took
+    // effect.
+    return put_lost{};
+}
+
+result<std::vector<listed_host>> parse_hosts(const std::string& text)
+{
+    const auto document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_object() || !document.contains("hosts") || !document["hosts"].is_array())
+        return leaf::new_error(unavailable("GET /hosts", "the reply is no list of hosts"));
+    std::vector<listed_host> hosts;
+    for (const auto& it : document["hosts"]) {
+        if (!it.is_object() || !it.contains("id") || !it["id"].is_string())
+            continue;
+        const auto control = it.find("control");
+        if (control == it.end() || !control->is_string())
+            continue;
+        const auto address = parse_endpoint(control->get<std::string>());
+        if (!address)
+            continue;
+        const auto leaving = it.find("leaving");
+        const bool is_leaving =
+            leaving != it.end() && leaving->is_boolean() && leaving->get<bool>();
+        hosts.push_back({host_id{it["id"].get<std::string>()}, *address, is_leaving});
+    }
+    return hosts;
+}
+
+/// Outcome of one HTTP call; `reply` is empty if none came.
+struct exchange
+{
+    bool sent = false;
+    std::optional<httplib::Response> reply;
+    std::string failure;
+};
+
+} // namespace
+
+struct object_store_client::state
+{
+    state(endpoint address, duration limit)
+        : timeout{limit}, calls{address, call_connections, std::min(limit, longest_connect)},
+          // Watches have connections of their own: a pending one holds its
+          // connection for the whole wait.
+          watches{std::move(address), watch_connections, std::min(limit, longest_connect)}
+    {
+    }
+
+    template <class Call>
+    exchange run(connection_pool& pool, duration wait, std::atomic<std::uint64_t>& counter,
+                 Call call);
+
+    const duration timeout;
+    connection_pool calls;
+    connection_pool watches;
+};
+
+template <class Call>
+exchange object_store_client::state::run(connection_pool& pool, duration wait,
+                                         std::atomic<std::uint64_t>& counter, Call call)
+{
+    auto connection = pool.acquire(wait);
+    if (!connection)
+        return {false, std::nullopt, "no connection is free, or the client is stopped"};
+    counter.fetch_add(1);
+    const httplib::Result got = call(*connection);
+    const bool replied = got.error() == httplib::Error::Success;
+    exchange done{replied || !nothing_sent(got.error()), std::nullopt, {}};
+    if (replied)
+        done.reply = got.value();
+    else
+        done.failure = failure_text(got.error());
+    pool.release(std::move(connection), replied);
+    return done;
+}
+
+object_store_client::object_store_client(endpoint address, duration timeout)
+    : state_{std::make_unique<state>(std::move(address), timeout)}
+{
+}
+
+object_store_client::~object_store_client() = default;
+
+result<std::optional<stored_object>> object_store_client::get(const std::string& key)
+{
+    const std::string path = object_path(key);
+    const exchange done = state_->run(state_->calls, state_->timeout, calls_,
+                                      [&path](httplib::Client& it) { return it.Get(path); });
+    if (!done.reply)
+        return leaf::new_error(unavailable("read", done.failure));
+    if (done.reply->status == 404)
+        return std::optional<stored_object>{};
+    const object_version version = version_of(*done.reply);
+    if (done.reply->status != 200 || version == 0)
+        return leaf::new_error(unavailable("read", fmt::format("status {}", done.reply->status)));
+    return std::optional{stored_object{version, done.reply->body}};
+}
+
+result<std::optional<stored_object>> object_store_client::watch(const std::string& key,
+                                                                object_version after, duration wait)
+{
+    const auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+    const std::string path =
+        fmt::format("{}?after={}&wait_ms={}", object_path(key), after, wait_ms);
+    bool unchanged = false;
+    std::string content;
+    const exchange done =
+        state_->run(state_->watches, wait + state_->timeout, calls_, [&](httplib::Client& it) {
+            // A 304 needs no Content-Length, and cpp-httplib 0.11 would then wait
+            // for a body until the connection is closed.
+            return it.Get(
+                path,
+                [&unchanged](const httplib::Response& head) {
+                    unchanged = head.status == 304;
+                    return !unchanged || head.has_header("Content-Length");
+                },
+                [&content](const char* data, std::size_t n) {
+                    content.append(data, n);
+                    return true;
+                });
+        });
+    if (unchanged)
+        return std::optional<stored_object>{};
+    if (!done.reply)
+        return leaf::new_error(unavailable("watch", done.failure));
+    if (done.reply->status == 404)
+        return std::optional<stored_object>{};
+    const object_version version = version_of(*done.reply);
+    if (done.reply->status != 200 || version == 0)
+        return leaf::new_error(unavailable("watch", fmt::format("status {}", done.reply->status)));
+    // A stale read may return a version that is known already.
+    if (version <= after)
+        return std::optional<stored_object>{};
+    return std::optional{stored_object{version, std::move(content)}};
+}
+
+put_result object_store_client::put(const std::string& key, const std::string& content,
+                                    object_version expected)
+{
+    const std::string path = object_path(key);
+    const httplib::Headers headers{expected == 0 ? std::pair{"If-None-Match", std::string{"*"}}
+                                                 : std::pair{"If-Match", quoted(expected)}};
+    const exchange done =
+        state_->run(state_->calls, state_->timeout, calls_, [&](httplib::Client& it) {
+            return it.Put(path, headers, content, "application/json");
+        });
+    if (done.reply)
+        return to_put_result(*done.reply);
+    if (done.sent)
+        return put_lost{};
+    return put_refused{done.failure};
+}
+
+result<std::vector<listed_host>> object_store_client::hosts()
+{
+    const exchange done = state_->run(state_->calls, state_->timeout, calls_,
+                                      [](httplib::Client& it) { return it.Get("/hosts"); });
+    if (!done.reply)
+        return leaf::new_error(unavailable("GET /hosts", done.failure));
+    if (done.reply->status != 200)
+        return leaf::new_error(
+            unavailable("GET /hosts", fmt::format("status {}", done.reply->status)));
+    return parse_hosts(done.reply->body);
+}
+
+void object_store_client::stop()
+{
+    state_->calls.stop();
+    state_->watches.stop();
+}
+
+} // namespace ebonywick
--- /dev/null
+++ b/tests/standins/store/objecttable.cpp
@@ -0,0 +1,217 @@
+// Versions, conditions and watches, with the faults laid over them.
+#include "objecttable.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <stdexcept>
+#include <thread>
+
+namespace ebonywick::standin {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view objects_path = "/objects/";
+
+std::string tag_of(object_version version)
+{
+    return version == 0 ? std::string{} : fmt::format("\"{}\"", version);
+}
+
+std::uint64_t number(const std::map<std::string, std::string>& from, const char* name)
+{
+    const auto it = from.find(name);
+    return it == from.end() ? 0 : std::strtoull(it->second.c_str(), nullptr, 10);
+}
+
+} // namespace
+
+object_table::object_table(const std::string& record_path)
+{
+    if (record_path.empty())
+        return;
+    record_ = std::fopen(record_path.c_str(), "w");
+    if (record_ == nullptr)
+        throw std::runtime_error{fmt::format("cannot write {}", record_path)};
+}
+
+object_table::~object_table()
+{
+    if (record_ != nullptr)
+        std::fclose(record_);
+}
+
+std::optional<http_reply> object_table::serve(const http_request& request)
+{
+    const std::string key = request.path.substr(std::min(request.path.size(), objects_path.size()));
+    if (!request.path.starts_with(objects_path) || key.empty())
+        return http_reply{404, "", ""};
+    std::unique_lock lock{mutex_};
+    const bool is_read = request.method == "GET";
+    const bool is_watch = is_read && request.parameters.contains("after");
+    counts& second = current_second();
+    ++(is_watch ? second.watches : is_read ? second.reads : second.writes);
+    if (!pass_faults(lock))
+        return std::nullopt;
+    if (is_watch)
+        return watch(key, request, lock);
+    if (is_read)
+        return read(key);
+    if (request.method == "PUT")
+        return write(key, request);
+    return http_reply{405, "", ""};
+}
+
+bool object_table::pass_faults(std::unique_lock<std::mutex>& lock)
+{
+    if (faults_.outage == outage_mode::hang) {
+        const std::uint64_t number = outage_number_;
+        changed_.wait(lock, [this, number] { return outage_number_ != number; });
+        if (!faults_.late_effect)
+            return false;
+    }
+    if (faults_.slow > duration::zero()) {
+        const duration delay = faults_.slow;
+        lock.unlock();
+        std::this_thread::sleep_for(delay);
+        lock.lock();
+    }
+    return true;
+}
+
+std::optional<http_reply> object_table::read(const std::string& key)
+{
+    const auto it = objects_.find(key);
+    if (it == objects_.end())
+        return http_reply{404, "", ""};
+    const bool stale = faults_.stale_reads > 0 && random_.unit() < faults_.stale_reads;
+    const revision& found = stale ? it->second.previous : it->second.current;
+    if (stale)
+        ++stale_replies_;
+    if (found.version == 0)
+        return http_reply{404, "", ""};
+    return http_reply{200, tag_of(found.version), found.content};
+}
+
+std::optional<http_reply> object_table::watch(const std::string& key, const http_request& request,
+                                              std::unique_lock<std::mutex>& lock)
+{
+    const object_version after = number(request.parameters, "after");
+    const auto wait = std::chrono::milliseconds{number(request.parameters, "wait_ms")};
+    const std::uint64_t outage = outage_number_;
+    const auto is_newer = [&] {
+        const auto it = objects_.find(key);
+        return it != objects_.end() && it->second.current.version > after;
+    };
+    ++pending_watches_;
+    changed_.wait_for(lock, wait, [&] { return outage_number_ != outage || is_newer(); });
+    --pending_watches_;
+    if (outage_number_ != outage && !pass_faults(lock))
+        return std::nullopt;
+    if (!is_newer())
+        return http_reply{304, tag_of(after), ""};
+    const revision& found = objects_[key].current;
+    return http_reply{200, tag_of(found.version), found.content};
+}
+
+std::optional<http_reply> object_table::write(const std::string& key, const http_request& request)
+{
+    const auto it = objects_.find(key);
+    const object_version current = it == objects_.end() ? 0 : it->second.current.version;
+    const auto match = request.headers.find("if-match");
+    const bool must_be_new = request.headers.contains("if-none-match");
+    if (match == request.headers.end() && !must_be_new)
+        return http_reply{428, tag_of(current), ""};
+    const bool holds = must_be_new ? current == 0 : match->second == tag_of(current);
+    const bool lost = faults_.lose_replies > 0 && key.starts_with(faults_.lose_prefix) &&
+                      random_.unit() < faults_.lose_replies;
+    if (lost)
+        ++lost_replies_;
+    if (!holds) {
+        record(key, current, lost ? "mismatch_reply_lost" : "mismatch");
+        return lost ? std::nullopt : std::optional{http_reply{412, tag_of(current), ""}};
+    }
+    history& target = objects_[key];
+    target.previous = std::exchange(target.current, {++last_version_, request.body});
+    record(key, last_version_, lost ? "accepted_reply_lost" : "accepted");
+    changed_.notify_all();
+    if (lost)
+        return std::nullopt;
+    return http_reply{current == 0 ? 201 : 200, tag_of(last_version_), ""};
+}
+
+void object_table::record(const std::string& key, object_version version, const char* result)
+{
+    if (record_ == nullptr)
+        return;
+    const nlohmann::json line{{"time", boot_clock::now().time_since_epoch().count()},
+                              {"key", key},
+                              {"version", version},
+                              {"result", result}};
+    fmt::print(record_, "{}\n", line.dump());
+    std::fflush(record_);
+}
+
+fault_settings object_table::faults()
+{
+    const std::lock_guard lock{mutex_};
+    return faults_;
+}
+
+void object_table::set_faults(const fault_settings& faults)
+{
+    const std::lock_guard lock{mutex_};
+    if (faults.outage != faults_.outage)
+        ++outage_number_;
+    faults_ = faults;
+    changed_.notify_all();
+}
+
+void object_table::seed(std::uint64_t value)
+{
+    const std::lock_guard lock{mutex_};
+    random_ = random_source{value};
+}
+
+object_table::counts& object_table::current_second()
+{
+    return seconds_[(boot_clock::now() - stats_start_) / 1s];
+}
+
+void object_table::reset_stats()
+{
+    const std::lock_guard lock{mutex_};
+    stats_start_ = boot_clock::now();
+    seconds_.clear();
+    lost_replies_ = 0;
+    stale_replies_ = 0;
+}
+
+std::string object_table::stats()
+{
+    const std::lock_guard lock{mutex_};
+    counts total;
+    nlohmann::json seconds = nlohmann::json::array();
+    for (const auto& [second, it] : seconds_) {
+        total.reads += it.reads;
+        total.writes += it.writes;
+        total.watches += it.watches;
+        seconds.push_back({{"second", second},
+                           {"reads", it.reads},
+                           {"writes", it.writes},
+                           {"watches", it.watches}});
+    }
+    return nlohmann::json{
+        {"reads", total.reads},          {"writes", total.writes},
+        {"watches", total.watches},      {"pending_watches", pending_watches_},
+        {"lost_replies", lost_replies_}, {"stale_replies", stale_replies_},
+        {"objects", objects_.size()},    {"start", stats_start_.time_since_epoch().count()},
+        {"per_second", seconds}}
+        .dump();
+}
+
+} // namespace ebonywick::standin
