--- /dev/null
+++ b/src/libs/settings/configurationcheck.cpp
@@ -0,0 +1,192 @@
+// Rules that a configuration must satisfy as a whole.
+#include "settings/configurationcheck.h"
+
+#include <fmt/format.h>
+
+#include <map>
+#include <set>
+#include <utility>
+
+namespace ebonywick {
+
+namespace {
+
+class checker
+{
+public:
+    explicit checker(const configuration& config) : config_(config) {}
+
+    std::vector<configuration_finding> run()
+    {
+        if (config_.services.empty())
+            add("services", "no service is declared", "at least one entry", "declare a service");
+        std::set<service_name> names;
+        for (std::size_t it = 0; it < config_.services.size(); ++it) {
+            const auto& service = config_.services[it];
+            const auto path = fmt::format("services[{}]", it);
+            if (!service.name.empty() && !names.insert(service.name).second)
+                add(path + ".name",
+                    fmt::format("service `{}` is declared twice", service.name.value()),
+                    "a name of its own", "rename or remove one of the services");
+            check_service(service, path);
+        }
+        check_presets();
+        return std::move(findings_);
+    }
+
+private:
+    // Where a searcher was declared first.
+    struct first_place
+    {
+        const searcher_declaration* searcher;
+        const service_declaration* service;
+        const shard_map* map;
+    };
+
+    void add(std::string key, std::string message, std::string range, std::string remedy,
+             std::vector<std::string> depends_on = {})
+    {
+        findings_.push_back({std::move(key), std::move(message), std::move(range),
+                             std::move(remedy), std::move(depends_on)});
+    }
+
+    void check_service(const service_declaration& service, const std::string& path)
+    {
+        if (service.shard_maps.empty())
+            add(path + ".shard_maps", "no shard map is declared", "at least one entry",
+                "declare a shard map");
+        for (std::size_t it = 0; it < service.shard_maps.size(); ++it) {
+            const auto& map = service.shard_maps[it];
+            const auto here = fmt::format("{}.shard_maps[{}]", path, it);
+            if (it > 0 && map.epoch <= service.shard_maps[it - 1].epoch)
+                add(here + ".epoch",
+                    fmt::format("epoch {} follows epoch {}", map.epoch,
+                                service.shard_maps[it - 1].epoch),
+                    fmt::format("above {}", service.shard_maps[it - 1].epoch),
+                    "list the shard maps in order of growing epoch",
+                    {fmt::format("{}.shard_maps[{}].epoch", path, it - 1)});
+            check_map(service, map, here);
+        }
+    }
+
+    void check_map(const service_declaration& service, const shard_map& map,
+                   const std::string& path)
+    {
+        if (map.shards.empty())
+            add(path + ".shards", "the shard map is empty", "at least one entry",
+                "declare a shard, or remove the shard map");
+        std::set<shard_name> names;
+        for (std::size_t it = 0; it < map.shards.size(); ++it) {
+            const auto& shard = map.shards[it];
+            const auto here = fmt::format("{}.shards[{}]", path, it);
+            if (!shard.name.empty() && !names.insert(shard.name).second)
+                add(here + ".name", fmt::format("shard `{}` is declared twice", shard.name.value()),
+                    "a name of its own in the shard map", "rename or remove one of the shards");
+            if (shard.replicas.empty())
+                add(here + ".replicas", "the shard has no replica", "at least one entry",
+                    "declare a replica, or remove the shard");
+            for (std::size_t n = 0; n < shard.replicas.size(); ++n)
+                check_searcher({&shard.replicas[n], &service, &map},
+                               fmt::format("{}.replicas[{}]", here, n));
+        }
+    }
+
+    void check_searcher(const first_place& place, const std::string& path)
+    {
+        const auto& searcher = *place.searcher;
+        if (!searcher.domain.empty())
+            domains_.insert(searcher.domain);
+        if (searcher.cold_concurrency > searcher.slots)
+            add(path + ".cold_concurrency",
+                fmt::format("{} is more than the {} slots", searcher.cold_concurrency,
+                            searcher.slots),
+                fmt::format("1 to {}", searcher.slots), "lower cold_concurrency",
+                {path + ".slots"});
+        // Slots + 2 links and one connection for cancelling.
+        if (searcher.connections < std::uint64_t{searcher.slots} + 3)
+            add(path + ".connections",
+                fmt::format("{} are too few for {} slots", searcher.connections, searcher.slots),
+                fmt::format("at least {}", std::uint64_t{searcher.slots} + 3),
+                "raise connections or lower slots", {path + ".slots"});
+        if (!searcher.id.empty())
+            check_identity(place, path);
+    }
+
+    void check_identity(const first_place& place, const std::string& path)
+    {
+        const auto& searcher = *place.searcher;
+        const auto [known, is_new] = searchers_.emplace(searcher.id, place);
+        if (!is_new) {
+            const bool is_shared = known->second.service == place.service &&
+                                   known->second.map != place.map &&
+                                   *known->second.searcher == searcher;
+            if (!is_shared)
+                add(path + ".id",
+                    fmt::format("searcher `{}` is declared twice", searcher.id.value()),
+                    "an id of its own; only shard maps of one service may share a searcher, "
+                    "declared alike",
+                    "rename or remove one of the searchers");
+            // A later shard map of the service is compared with this one.
+            known->second.map = place.map;
+            return;
+        }
+        if (searcher.address.port == 0)
+            return;
+        const auto [other, is_free] = addresses_.emplace(searcher.address, searcher.id);
+        if (!is_free)
+            add(path + ".address",
+                fmt::format("{} is also the address of searcher `{}`", to_string(searcher.address),
+                            other->second.value()),
+                "an address of its own", "correct one of the addresses");
+    }
+
+    void check_presets()
+    {
+        if (config_.presets.empty())
+            add("presets", "no preset is declared", "at least one entry", "declare a preset");
+        std::string known;
+        bool is_declared = false;
+        for (const auto& preset : config_.presets) {
+            known += (known.empty() ? "" : ", ") + preset.name.value();
+            is_declared = is_declared || preset.name == config_.preset_in_force;
+            check_domains(preset);
+        }
+        if (!is_declared && !config_.preset_in_force.empty())
+            add("preset_in_force",
+                fmt::format("preset `{}` is not declared", config_.preset_in_force.value()), known,
+                "name a declared preset", {"presets"});
+    }
+
+    void check_domains(const preset_declaration& preset)
+    {
+        const auto path = fmt::format("presets.{}.domains_out", preset.name.value());
+        std::set<failure_domain_id> seen;
+        for (const auto& domain : preset.domains_out) {
+            if (!seen.insert(domain).second)
+                add(path, fmt::format("failure domain `{}` is named twice", domain.value()),
+                    "each failure domain once", "remove one of the entries");
+            if (domains_.contains(domain))
+                continue;
+            std::string known;
+            for (const auto& it : domains_)
+                known += (known.empty() ? "" : ", ") + it.value();
+            add(path, fmt::format("no searcher is in failure domain `{}`", domain.value()), known,
+                "name the failure domain of a declared searcher", {"services"});
+        }
+    }
+
+    const configuration& config_;
+    std::vector<configuration_finding> findings_;
+    std::map<searcher_id, first_place> searchers_;
+    std::map<endpoint, searcher_id> addresses_;
+    std::set<failure_domain_id> domains_;
+};
+
+} // namespace
+
+std::vector<configuration_finding> check_configuration(const configuration& config)
+{
+    return checker{config}.run();
+}
+
+} // namespace ebonywick
--- a/src/libs/settings/nodesettings.h
+++ b/src/libs/settings/nodesettings.h
@@ -9,6 +9,10 @@
 
 namespace ebonywick {
 
+/// Least severity that is logged. Same order as logging's `log_level`, which
+/// belongs to a higher layer.
+enum class log_threshold { debug, info, warning, error };
+
 struct node_settings
 {
     // This host as it stands in the roster.
@@ -21,6 +25,7 @@
     std::uint32_t caller_connections = 256;
     // Threads that coordinate queries.
     std::uint32_t worker_threads = 2;
+    log_threshold log_level = log_threshold::info;
 
     auto operator<=>(const node_settings&) const = default;
 };
--- /dev/null
+++ b/src/libs/settings/yamlreader.cpp
@@ -0,0 +1,184 @@
+// Readers of node settings and declarations.
+#include "settings/yamlreader.h"
+
+#include "settings/configurationcheck.h"
+#include "settings/yamlsection.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace ebonywick {
+
+namespace {
+
+duration milliseconds_to_duration(double ms)
+{
+    return duration{std::llround(ms * 1e6)};
+}
+
+searcher_declaration read_replica(const YAML::Node& node, const std::string& path,
+                                  problem_list& problems)
+{
+    yaml_section section{node, declaration_table(), "replica", path, problems};
+    searcher_declaration out;
+    out.id = searcher_id{section.name("id")};
+    out.address = section.address("address");
+    out.domain = failure_domain_id{section.name("failure_domain")};
+    out.slots = static_cast<std::uint32_t>(section.integer("slots"));
+    out.connections = static_cast<std::uint32_t>(section.integer("connections"));
+    out.cold_concurrency = static_cast<std::uint32_t>(section.integer("cold_concurrency"));
+    return out;
+}
+
+shard_declaration read_shard(const YAML::Node& node, const std::string& path,
+                             problem_list& problems)
+{
+    yaml_section section{node, declaration_table(), "shard", path, problems};
+    shard_declaration out;
+    out.name = shard_name{section.name("name")};
+    for (const auto& entry : section.entries("replicas")) {
+        const auto where = fmt::format("{}.replicas[{}]", path, out.replicas.size());
+        out.replicas.push_back(read_replica(entry, where, problems));
+    }
+    return out;
+}
+
+shard_map read_shard_map(const YAML::Node& node, const std::string& path, problem_list& problems)
+{
+    yaml_section section{node, declaration_table(), "shard_map", path, problems};
+    shard_map out;
+    out.epoch = section.integer("epoch");
+    for (const auto& entry : section.entries("shards")) {
+        const auto where = fmt::format("{}.shards[{}]", path, out.shards.size());
+        out.shards.push_back(read_shard(entry, where, problems));
+    }
+    return out;
+}
+
+service_declaration read_service(const YAML::Node& node, const std::string& path,
+                                 problem_list& problems)
+{
+    yaml_section section{node, declaration_table(), "service", path, problems};
+    service_declaration out;
+    out.name = service_name{section.name("name")};
+    out.default_class = static_cast<request_class>(section.choice("class"));
+    out.yields = static_cast<yields_first>(section.choice("yields_first"));
+    out.least_coverage = section.number("least_coverage");
+    for (const auto& entry : section.entries("shard_maps")) {
+        const auto where = fmt::format("{}.shard_maps[{}]", path, out.shard_maps.size());
+        out.shard_maps.push_back(read_shard_map(entry, where, problems));
+    }
+    return out;
+}
+
+preset_declaration read_preset(const std::string& name, const YAML::Node& node,
+                               problem_list& problems)
+{
+    yaml_section section{node, declaration_table(), "preset", "presets." + name, problems};
+    preset_declaration out;
+    out.name = preset_name{name};
+    out.deadline = milliseconds_to_duration(section.number("deadline_ms"));
+    out.hedge_budget = section.number("hedge_budget");
+    out.interactive_limit = static_cast<std::uint32_t>(section.integer("interactive_limit"));
+    out.batch_limit = static_cast<std::uint32_t>(section.integer("batch_limit"));
+    out.batch_queue = static_cast<std::uint32_t>(section.integer("batch_queue"));
+    out.target_queue_wait = milliseconds_to_duration(section.number("target_queue_wait_ms"));
+    for (auto& domain : section.names("domains_out"))
+        out.domains_out.emplace_back(std::move(domain));
+    return out;
+}
+
+// Reports what check_configuration() finds, except where a value that it
+// depends on could not be read.
+void add_findings(const configuration& config, problem_list& problems)
+{
+    for (const auto& finding : check_configuration(config)) {
+        const bool unread = problems.has_problem(finding.key) ||
+                            std::any_of(finding.depends_on.begin(), finding.depends_on.end(),
+                                        [&](const auto& key) { return problems.has_problem(key); });
+        if (!unread)
+            problems.add(problems.line_of(finding.key), finding.key, finding.message, finding.range,
+                         finding.remedy);
+    }
+}
+
+void check_addresses(const node_settings& settings, problem_list& problems)
+{
+    const std::pair<const char*, const endpoint*> listening[] = {
+        {"http", &settings.self.http},
+        {"control", &settings.self.control},
+        {"dispatch", &settings.self.dispatch},
+        {"store", &settings.store}};
+    for (std::size_t it = 1; it < std::size(listening); ++it) {
+        const auto& [key, address] = listening[it];
+        if (address->port == 0)
+            continue;
+        for (std::size_t earlier = 0; earlier < it; ++earlier) {
+            if (*listening[earlier].second == *address)
+                problems.add(problems.line_of(key), key,
+                             fmt::format("{} is also the address of `{}`", to_string(*address),
+                                         listening[earlier].first),
+                             "an address of its own", "choose another port");
+        }
+    }
+}
+
+} // namespace
+
+std::string to_string(const setting_problem& problem)
+{
+    return fmt::format("{}:{}: {}{}{} (accepted: {}); {}", problem.file, problem.line, problem.key,
+                       problem.key.empty() ? "" : ": ", problem.message, problem.range,
+                       problem.remedy);
+}
+
+std::variant<node_settings, std::vector<setting_problem>>
+read_node_settings(const std::string& text, const std::string& file)
+{
+    problem_list problems{file};
+    const auto root = parse_yaml(text, problems);
+    if (!root)
+        return problems.sorted();
+    yaml_section section{*root, node_setting_table(), "", "", problems};
+    node_settings out;
+    out.self.id = host_id{section.name("host")};
+    out.self.domain = failure_domain_id{section.name("failure_domain")};
+    out.self.http = section.address("http");
+    out.self.control = section.address("control");
+    out.self.dispatch = section.address("dispatch");
+    out.store = section.address("store");
+    out.seeds = section.addresses("seeds");
+    out.caller_connections = static_cast<std::uint32_t>(section.integer("caller_connections"));
+    out.worker_threads = static_cast<std::uint32_t>(section.integer("worker_threads"));
+    out.log_level = static_cast<log_threshold>(section.choice("log_level"));
+    check_addresses(out, problems);
+    if (!problems.empty())
+        return problems.sorted();
+    return out;
+}
+
+std::variant<configuration, std::vector<setting_problem>> read_declaration(const std::string& text,
+                                                                           const std::string& file)
+{
+    problem_list problems{file};
+    const auto root = parse_yaml(text, problems);
+    if (!root)
+        return problems.sorted();
+    yaml_section section{*root, declaration_table(), "", "", problems};
+    configuration out;
+    for (const auto& entry : section.entries("services")) {
+        const auto where = fmt::format("services[{}]", out.services.size());
+        out.services.push_back(read_service(entry, where, problems));
+    }
+    for (const auto& [name, node] : section.named("presets"))
+        out.presets.push_back(read_preset(name, node, problems));
+    out.preset_in_force = preset_name{section.name("preset_in_force")};
+    add_findings(out, problems);
+    if (!problems.empty())
+        return problems.sorted();
+    return out;
+}
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/settings/yamlreader.h
@@ -0,0 +1,47 @@
+// Reads node settings and declarations from YAML. All problems of a text are
+// reported at once.
+#pragma once
+
+#include "settings/declaration.h"
+#include "settings/nodesettings.h"
+
+#include <compare>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ebonywick {
+
+/// One problem in a settings or declaration file.
+struct setting_problem
+{
+    std::string file;
+    // Counted from 1.
+    int line = 0;
+    // Path of the key, for example `services[0].name`; empty for the whole file.
+    std::string key;
+    std::string message;
+    // Accepted values.
+    std::string range;
+    std::string remedy;
+
+    auto operator<=>(const setting_problem&) const = default;
+};
+
+/// `FILE:LINE: KEY: MESSAGE (accepted: RANGE); REMEDY`.
+[[nodiscard]] std::string to_string(const setting_problem& problem);
+
+/// Never throws; `file` only names the text in problems. Problems are sorted by
+/// line.
+[[nodiscard]] std::variant<node_settings, std::vector<setting_problem>>
+read_node_settings(const std::string& text, const std::string& file);
+
+/// As read_node_settings; also applies check_configuration().
+[[nodiscard]] std::variant<configuration, std::vector<setting_problem>>
+read_declaration(const std::string& text, const std::string& file);
+
+/// YAML from which read_declaration() reads an equal configuration, provided
+/// that the configuration is valid.
+[[nodiscard]] std::string write_declaration(const configuration& config);
+
+} // namespace ebonywick
