--- /dev/null
+++ b/tests/standins/searcher/admin.cpp
@@ -0,0 +1,78 @@
+// Distributes admin commands over the searchers.
+#include "admin.h"
+
+#include <algorithm>
+#include <exception>
+
+namespace ebonywick::standin {
+
+namespace {
+
+bool selected(const nlohmann::json& command, const hosted_searcher& it)
+{
+    if (command.contains("replica") && command["replica"] != it.replica)
+        return false;
+    const nlohmann::json chosen = command.value("searcher", nlohmann::json("all"));
+    if (chosen.is_array())
+        return std::find(chosen.begin(), chosen.end(), it.model->id()) != chosen.end();
+    return chosen == "all" || chosen == it.model->id();
+}
+
+} // namespace
+
+admin_port::admin_port(std::uint16_t port, std::vector<hosted_searcher>& searchers)
+    : searchers_(searchers)
+{
+    worker_.listen(port, 64,
+                   {[this](const http_request& it) { serve(it); },
+                    [](std::size_t) {
+                    }});
+    worker_.start();
+}
+
+std::size_t admin_port::apply(nlohmann::json command)
+{
+    // A switch reaches the searchers one by one, interval_ms apart.
+    nlohmann::json change = nlohmann::json::value_t::null;
+    if (command.contains("switch_version"))
+        change = command["switch_version"];
+    std::size_t reached = 0;
+    for (hosted_searcher& it : searchers_) {
+        if (!selected(command, it))
+            continue;
+        if (!change.is_null()) {
+            const auto interval = change.value("interval_ms", std::size_t{0});
+            command["switch_version"]["after_ms"] = interval * reached;
+        }
+        ++reached;
+        const std::scoped_lock guard{it.worker->lock()};
+        it.model->apply(command);
+    }
+    return reached;
+}
+
+void admin_port::serve(const http_request& request)
+{
+    if (request.method == "POST" && request.path == "/admin") {
+        try {
+            const std::size_t reached = apply(nlohmann::json::parse(request.body));
+            worker_.reply(request.connection, 200, "{\"reached\":" + std::to_string(reached) + "}");
+        } catch (const std::exception& ex) {
+            const nlohmann::json body{{"error", ex.what()}};
+            worker_.reply(request.connection, 400, body.dump());
+        }
+        return;
+    }
+    if (request.method == "GET" && request.path == "/admin/stats") {
+        nlohmann::json all = nlohmann::json::array();
+        for (const hosted_searcher& it : searchers_) {
+            const std::scoped_lock guard{it.worker->lock()};
+            all.push_back(it.model->stats());
+        }
+        worker_.reply(request.connection, 200, all.dump());
+        return;
+    }
+    worker_.reply(request.connection, 404, R"({"error":"unknown path"})");
+}
+
+} // namespace ebonywick::standin
