membership: first membership agent

Cause: node and wire link against the agent. Change: rendezvous, lease registry, currency tracker, gossip, object spread, fences, responsibility and the agent that joins them.

--- /dev/null
+++ b/src/libs/membership/agentmessages.cpp
@@ -0,0 +1,163 @@
+// Messages of the membership agent.
+#include "membership/agentstate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ebonywick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Heartbeats are spread over the period, one to a monitor and one to a neighbour
+// in turn, so that tokens travel several hops within one period.
+constexpr duration heartbeat_period = 500ms;
+constexpr std::size_t slots_per_period = 2 * monitor_count;
+// Known states that a reply repeats; see member_gossip::updates_for().
+constexpr std::size_t repeated_states = 2;
+
+} // namespace
+
+void membership_agent::state::on_message(const control_message& message, time_point now)
+{
+    std::visit([&](const auto& it) { on(it, now); }, message);
+}
+
+void membership_agent::state::send_heartbeat(const host_id& to, bool wants_lease, time_point now,
+                                             const host_id* about)
+{
+    pending.emplace(++sequence, sent_heartbeat{to, now, wants_lease});
+    send(to, heartbeat{self, incarnation, sequence, objects.version(object_kind::config),
+                       objects.version(object_kind::roster), wants_lease,
+                       gossip.updates_for(to, true, 0, about)});
+}
+
+void membership_agent::state::send_due_heartbeats(time_point now)
+{
+    std::erase_if(pending, [&](const auto& it) { return now - it.second.sent > freshness_bound; });
+    if (tables.hosts.empty())
+        return;
+    // After a pause the missed heartbeats are not made up for.
+    next_slot = std::max(next_slot, now - heartbeat_period);
+    const std::vector<host_id> monitor_hosts =
+        tables.lists(self) ? tables.monitors[self] : monitors_of(hosts, self);
+    while (next_slot <= now) {
+        if (slot == 0)
+            for (const host_id& witness : tracker.witnesses_to_ask())
+                send_heartbeat(witness, false, now);
+        if (slot % 2 == 0) {
+            if (slot / 2 < monitor_hosts.size())
+                send_heartbeat(monitor_hosts[slot / 2], may_use_lease(), now);
+        } else {
+            for (std::size_t it = 0; it < tables.neighbours.size(); ++it) {
+                const host_id& host =
+                    tables.neighbours[next_neighbour++ % tables.neighbours.size()];
+                if (std::find(monitor_hosts.begin(), monitor_hosts.end(), host) !=
+                    monitor_hosts.end())
+                    continue;
+                send_heartbeat(host, false, now);
+                break;
+            }
+        }
+        slot = (slot + 1) % slots_per_period;
+        next_slot += heartbeat_period / slots_per_period;
+    }
+}
+
+void membership_agent::state::announce_to_neighbours(time_point now)
+{
+    // The neighbours see the versions and fetch the content once, from the first
+    // host that shows it; pushing the content would send it to each host as often
+    // as it has neighbours.
+    for (const host_id& host : tables.neighbours)
+        send_heartbeat(host, false, now);
+}
+
+void membership_agent::state::take_update(const member_update& update)
+{
+    const host_status former = gossip.status_of(update.host);
+    if (!gossip.apply(update))
+        return;
+    const host_status status = gossip.status_of(update.host);
+    if (status != former)
+        actions.emplace_back(host_changed{update.host, status});
+}
+
+void membership_agent::state::on(const heartbeat& message, time_point now)
+{
+    // News about a former life.
+    if (message.from != self && message.incarnation < gossip.incarnation_of(message.from))
+        return;
+    for (const member_update& update : message.updates)
+        take_update(update);
+    tracker.note_versions(message.config, message.roster);
+    objects.note_seen(object_kind::config, message.config, message.from);
+    objects.note_seen(object_kind::roster, message.roster, message.from);
+    const auto subject = subjects.find(message.from);
+    if (subject != subjects.end()) {
+        subject->second.last_heard = now;
+        subject->second.asserted = false;
+    }
+    const bool granted = message.wants_lease && subject != subjects.end() &&
+                         registry.grant_act(message.from, message.incarnation, now);
+    send(message.from,
+         heartbeat_reply{self, incarnation, message.sequence, objects.version(object_kind::config),
+                         objects.version(object_kind::roster), granted, tracker.tokens(now),
+                         gossip.updates_for(message.from, false, repeated_states)});
+    // A monitor that reports its subject absent grants a fence from now on.
+    if (may_use_lease())
+        for (const member_update& update : message.updates)
+            if (update.host != message.from && update.status == host_status::down &&
+                gossip.status_of(update.host) == host_status::down)
+                emit(fences.ask_at_once(update.host, message.from, now));
+    emit(objects.advance(now));
+}
+
+void membership_agent::state::on(const heartbeat_reply& message, time_point now)
+{
+    const auto it = pending.find(message.sequence);
+    if (it == pending.end() || it->second.to != message.from)
+        return;
+    const sent_heartbeat sent = it->second;
+    pending.erase(it);
+    if (message.incarnation < gossip.incarnation_of(message.from))
+        return;
+    for (const member_update& update : message.updates)
+        take_update(update);
+    tracker.note_versions(message.config, message.roster);
+    objects.note_seen(object_kind::config, message.config, message.from);
+    objects.note_seen(object_kind::roster, message.roster, message.from);
+    bool issues = false;
+    for (const currency_token& token : message.tokens) {
+        issues = issues || token.witness == message.from;
+        objects.note_seen(object_kind::config, token.config, token.witness);
+        objects.note_seen(object_kind::roster, token.roster, token.witness);
+        tracker.add_token(token, sent.sent - token.age);
+    }
+    if (message.from != self)
+        tracker.note_reply(message.from, message.incarnation, issues);
+    tracker.advance(now);
+    if (message.lease_granted && sent.wants_lease && may_use_lease())
+        lease.grant(message.from, sent.sent + lease_duration);
+    emit(objects.advance(now));
+}
+
+void membership_agent::state::on(const object_push&, time_point)
+{
+    // The owner parses the content and passes it on as object_learned.
+}
+
+void membership_agent::state::on(const object_fetch& message, time_point)
+{
+    const object_version version = objects.version(message.kind);
+    if (version != 0)
+        send(message.from, object_push{self, message.kind, version, objects.content(message.kind)});
+}
+
+void membership_agent::state::on(const fence_reply& message, time_point)
+{
+    fences.note_reply(message);
+}
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/membership/responsibility.cpp
@@ -0,0 +1,182 @@
+// Claims on searchers.
+#include "membership/responsibility.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ebonywick {
+
+namespace {
+
+bool is_absent(host_status status)
+{
+    // A joining host has no lease yet.
+    return status == host_status::down || status == host_status::joining;
+}
+
+std::string gained_reason(const std::vector<host_id>& before)
+{
+    if (before.empty())
+        return "own lease, current, first candidate";
+    std::string text = "own lease, current, fences of earlier candidates";
+    for (const host_id& host : before)
+        text += " " + host.value();
+    return text;
+}
+
+} // namespace
+
+void responsibility::set_placement(const placement& tables, const plan_change& change)
+{
+    std::unordered_map<searcher_id, claim> claims;
+    std::set<searcher_id> known;
+    for (const auto& [searcher, order] : tables.orders) {
+        known.insert(searcher);
+        const auto own = std::find_if(order.begin(), order.end(),
+                                      [&](std::uint32_t it) { return tables.hosts[it] == self_; });
+        if (own == order.end())
+            continue;
+        claim next;
+        for (auto it = order.begin(); it != own; ++it)
+            next.before.push_back(tables.hosts[*it]);
+        const auto old = claims_.find(searcher);
+        if (change.first)
+            next.blocked = true;
+        else if (old != claims_.end()) {
+            next.former = old->second.former;
+            next.former.insert(old->second.before.begin(), old->second.before.end());
+            for (const host_id& host : next.before)
+                next.former.erase(host);
+            next.blocked = old->second.blocked;
+        } else
+            next.blocked = known_.contains(searcher) || !change.was_settled;
+        claims.emplace(searcher, std::move(next));
+    }
+    claims_ = std::move(claims);
+    known_ = std::move(known);
+}
+
+void responsibility::settle()
+{
+    for (auto& [searcher, it] : claims_) {
+        it.former.clear();
+        it.blocked = false;
+    }
+}
+
+std::set<host_id> responsibility::wanted_fences(const fence_keeper& fences,
+                                                const status_function& status_of,
+                                                time_point now) const
+{
+    std::set<host_id> wanted;
+    const auto absent = [&](const host_id& host) {
+        return is_absent(status_of(host)) || now < fences.fenced_until(host);
+    };
+    for (const auto& [searcher, it] : claims_) {
+        if (it.blocked || !std::all_of(it.before.begin(), it.before.end(), absent) ||
+            !std::all_of(it.former.begin(), it.former.end(), absent))
+            continue;
+        for (const host_id& host : it.before)
+            if (is_absent(status_of(host)))
+                wanted.insert(host);
+        for (const host_id& host : it.former)
+            if (is_absent(status_of(host)))
+                wanted.insert(host);
+    }
+    return wanted;
+}
+
+std::set<host_id> responsibility::relevant_hosts() const
+{
+    std::set<host_id> hosts;
+    for (const auto& [searcher, it] : claims_) {
+        hosts.insert(it.before.begin(), it.before.end());
+        hosts.insert(it.former.begin(), it.former.end());
+    }
+    return hosts;
+}
+
+std::vector<membership_action> responsibility::refresh(const fence_keeper& fences, bool acts,
+                                                       const std::string& why_not, time_point now)
+{
+    std::unordered_map<searcher_id, time_point> held;
+    if (acts) {
+        for (const auto& [searcher, it] : claims_) {
+            if (it.blocked)
+                continue;
+            time_point until = time_point::max();
+            for (const host_id& host : it.before)
+                until = std::min(until, fences.fenced_until(host));
+            for (const host_id& host : it.former)
+                until = std::min(until, fences.fenced_until(host));
+            if (now < until)
+                held.emplace(searcher, until);
+        }
+    }
+    std::vector<membership_action> actions;
+    for (const auto& [searcher, until] : held_)
+        if (!held.contains(searcher))
+            actions.emplace_back(
+                holder_lost{searcher, acts ? lost_reason(searcher, fences, now) : why_not});
+    for (const auto& [searcher, until] : held)
+        if (!held_.contains(searcher))
+            actions.emplace_back(holder_gained{searcher, gained_reason(claims_[searcher].before)});
+    held_ = std::move(held);
+    return actions;
+}
+
+std::string responsibility::lost_reason(const searcher_id& searcher, const fence_keeper& fences,
+                                        time_point now) const
+{
+    const auto it = claims_.find(searcher);
+    if (it == claims_.end())
+        return known_.contains(searcher) ? "no longer a candidate" : "no longer declared";
+    for (const host_id& host : it->second.before)
+        if (now >= fences.fenced_until(host))
+            return "no fence of earlier candidate " + host.value();
+    for (const host_id& host : it->second.former)
+        if (now >= fences.fenced_until(host))
+            return "no fence of candidate " + host.value() + " of the former version";
+    return "new version not settled";
+}
+
+bool responsibility::holds(const searcher_id& searcher, time_point now) const
+{
+    const auto it = held_.find(searcher);
+    return it != held_.end() && now < it->second;
+}
+
+host_id responsibility::holder_of(const placement& tables, const searcher_id& searcher,
+                                  const status_function& status_of) const
+{
+    if (held_.contains(searcher))
+        return self_;
+    const auto it = tables.orders.find(searcher);
+    if (it == tables.orders.end())
+        return host_id{};
+    for (const std::uint32_t place : it->second)
+        if (!is_absent(status_of(tables.hosts[place])))
+            return tables.hosts[place];
+    return host_id{};
+}
+
+std::set<host_id> responsibility::successors_of(const placement& tables, const host_id& absent,
+                                                const status_function& status_of)
+{
+    std::set<host_id> successors;
+    for (const auto& [searcher, order] : tables.orders) {
+        bool passed = false;
+        for (const std::uint32_t place : order) {
+            const host_id& host = tables.hosts[place];
+            passed = passed || host == absent;
+            if (is_absent(status_of(host)))
+                continue;
+            if (passed)
+                successors.insert(host);
+            break;
+        }
+    }
+    return successors;
+}
+
+} // namespace ebonywick
