--- a/src/libs/orders/ordercoordinator.h
+++ b/src/libs/orders/ordercoordinator.h
@@ -142,7 +142,9 @@
     auto operator<=>(const order_plan&) const = default;
 };
 
-/// Not thread-safe; one for each order request at an entry host.
+/// Not thread-safe; one for each order request at an entry host. Each
+/// write_record and read_record is answered by one event, and send_order by one
+/// order_replied or order_failed, also after finish_order.
 class order_coordinator
 {
 public:
@@ -153,6 +155,8 @@
 
     std::vector<order_action> start(time_point now);
     std::vector<order_action> handle(const order_event& ev, time_point now);
+    /// True when no further action will come. The outcome of a call whose deadline
+    /// has passed is still recorded, so this may be later than finish_order.
     [[nodiscard]] bool finished() const;
 
 private:
