--- a/src/libs/searcherlink/searcherlink.h
+++ b/src/libs/searcherlink/searcherlink.h
@@ -23,6 +23,8 @@
     bool idempotent = true;
     duration timeout;
     std::string body;
+    // Sent with a call that is not idempotent; empty: the request id.
+    std::string idempotency_key;
 
     auto operator<=>(const link_call&) const = default;
 };
@@ -35,7 +37,8 @@
     reply_status status = reply_status::lost;
     // Set when the searcher does not hold the version (it did not run the call).
     bool version_not_held = false;
-    // Set when nothing was written to the connection.
+    // Set when nothing was written: with status cancelled because may_send
+    // refused, with status lost because the connection is gone.
     bool not_sent = false;
     duration latency = duration::zero();
     snapshot from;
@@ -52,7 +55,8 @@
 
 struct link_handlers
 {
-    // All are called on the link's thread.
+    // All are called on the link's thread, which must not destroy the link. The
+    // reply to the first health request comes by on_probe right before on_opened.
     std::function<void(const link_reply&)> on_reply;
     std::function<void(const link_probed&)> on_probe;
     std::function<void(const link_opened&)> on_opened;
@@ -65,7 +69,9 @@
 {
 public:
     searcher_link(std::uint32_t number, endpoint searcher, link_handlers handlers);
-    /// Ends the call in progress at the price of the connection.
+    /// Ends the call in progress at the price of the connection. Waits for the
+    /// thread, so the caller must not hold a lock that the handlers take. May
+    /// wait 500 ms for a connection that is being opened.
     ~searcher_link();
     searcher_link(const searcher_link&) = delete;
     searcher_link& operator=(const searcher_link&) = delete;
@@ -80,7 +86,8 @@
 };
 
 /// Sends `DELETE /calls/ID` on a connection of its own; one thread for all
-/// searchers, with a kept connection for each.
+/// searchers, with a kept connection for each. Cancelling is best effort: a full
+/// queue drops requests, and so does a searcher that did not answer lately.
 class cancel_sender
 {
 public:
