--- a/src/libs/admission/fairqueue.h
+++ b/src/libs/admission/fairqueue.h
@@ -30,6 +30,7 @@
 {
 public:
     fair_queue() = default;
+    ~fair_queue() = default;
     fair_queue(const fair_queue&) = delete;
     fair_queue& operator=(const fair_queue&) = delete;
 
--- /dev/null
+++ b/tests/auto/query/queryfixture.h
@@ -0,0 +1,140 @@
+// A declared service and one query on it, with the time advanced by the test.
+#pragma once
+
+#include "query/querycoordinator.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ebonywick {
+
+using namespace std::chrono_literals;
+
+inline searcher_id searcher_of(std::size_t shard, std::size_t replica)
+{
+    return searcher_id{std::to_string(shard) + "-" + std::to_string(replica)};
+}
+
+inline shard_map make_map(shard_map_epoch epoch, std::size_t shards, std::size_t replicas)
+{
+    shard_map map;
+    map.epoch = epoch;
+    for (std::size_t shard = 0; shard < shards; ++shard) {
+        shard_declaration& added = map.shards.emplace_back();
+        added.name = shard_name{"shard" + std::to_string(shard)};
+        for (std::size_t replica = 0; replica < replicas; ++replica) {
+            searcher_declaration& searcher = added.replicas.emplace_back();
+            searcher.id = searcher_of(shard, replica);
+            searcher.domain = failure_domain_id{"domain" + std::to_string(replica)};
+            searcher.slots = 4;
+        }
+    }
+    return map;
+}
+
+/// One query; `sent` holds the calls that have neither ended nor been cancelled.
+struct query_fixture
+{
+    query_fixture(std::size_t shards, std::size_t replicas, double share = 0.025,
+                  double burst = 20.0)
+        : budget(share, burst)
+    {
+        service.shard_maps = {make_map(1, shards, replicas)};
+        selector.configure(service, {});
+        selector.advance(now);
+    }
+
+    void report(const searcher_id& searcher, std::vector<index_version> versions, bool cold = false)
+    {
+        selector.observe({searcher, std::move(versions), 0, cold, false, false});
+    }
+    void report_all(const std::vector<index_version>& versions)
+    {
+        for (const shard_map& map : service.shard_maps) {
+            for (const shard_declaration& shard : map.shards) {
+                for (const searcher_declaration& it : shard.replicas)
+                    report(it.id, versions);
+            }
+        }
+    }
+    /// Gives the selector a hedge delay of about 2 ms.
+    void learn_latency()
+    {
+        for (int it = 0; it < 64; ++it) {
+            selector.call_sent(searcher_of(0, 0));
+            selector.call_ended(searcher_of(0, 0), 2ms);
+        }
+    }
+
+    void start(duration deadline = 1s, std::optional<duration> goal = std::nullopt)
+    {
+        query_plan plan;
+        plan.id = {1, 2};
+        plan.service = std::make_shared<const service_declaration>(service);
+        plan.deadline = now + deadline;
+        if (goal)
+            plan.latency_goal = now + *goal;
+        query = std::make_unique<query_coordinator>(plan, selector, budget);
+        apply(query->start(now));
+    }
+    void answer(const send_call& call, snapshot from)
+    {
+        sent.erase(call.id);
+        apply(query->handle(call_answered{call.id, call.searcher, from, call.shard, "[]"}, now));
+    }
+    void fail(const send_call& call, error_kind kind)
+    {
+        sent.erase(call.id);
+        apply(query->handle(call_failed{call.id, call.searcher, kind}, now));
+    }
+    void pass(duration time)
+    {
+        const time_point end = now + time;
+        while (!outcome && timer <= end) {
+            now = std::max(now, timer);
+            timer = time_point::max();
+            apply(query->handle(timer_expired{}, now));
+        }
+        now = end;
+    }
+    /// A copy of the outstanding calls, so that the test may answer them in turn.
+    [[nodiscard]] std::vector<send_call> calls() const
+    {
+        std::vector<send_call> all;
+        for (const auto& [id, call] : sent)
+            all.push_back(call);
+        return all;
+    }
+    void apply(std::vector<query_action> actions)
+    {
+        for (query_action& it : actions) {
+            if (auto* call = std::get_if<send_call>(&it)) {
+                history.push_back(*call);
+                sent.emplace(call->id, *call);
+            } else if (const auto* cancelled = std::get_if<cancel_call>(&it)) {
+                sent.erase(cancelled->id);
+                cancels.push_back(*cancelled);
+            } else if (const auto* set = std::get_if<set_timer>(&it)) {
+                timer = set->at;
+            } else {
+                outcome = std::get<finish_query>(it).outcome;
+            }
+        }
+    }
+
+    time_point now{1h};
+    time_point timer = time_point::max();
+    service_declaration service;
+    replica_selector selector{7};
+    retry_budget budget;
+    std::unique_ptr<query_coordinator> query;
+    std::map<call_id, send_call> sent;
+    std::vector<send_call> history;
+    std::vector<cancel_call> cancels;
+    std::optional<query_outcome> outcome;
+};
+
+} // namespace ebonywick
