--- a/src/libs/settings/yamlsection.cpp
+++ b/src/libs/settings/yamlsection.cpp
@@ -3,10 +3,11 @@
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
+#include <yaml-cpp/eventhandler.h>
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
+#include <sstream>
 
 namespace ebonywick {
 
@@ -49,6 +50,30 @@
     return out;
 }
 
+// Ignores the content of a document.
+class event_sink : public YAML::EventHandler
+{
+public:
+    void OnDocumentStart(const YAML::Mark&) override {}
+    void OnDocumentEnd() override {}
+    void OnNull(const YAML::Mark&, YAML::anchor_t) override {}
+    void OnAlias(const YAML::Mark&, YAML::anchor_t) override {}
+    void OnScalar(const YAML::Mark&, const std::string&, YAML::anchor_t,
+                  const std::string&) override
+    {
+    }
+    void OnSequenceStart(const YAML::Mark&, const std::string&, YAML::anchor_t,
+                         YAML::EmitterStyle::value) override
+    {
+    }
+    void OnSequenceEnd() override {}
+    void OnMapStart(const YAML::Mark&, const std::string&, YAML::anchor_t,
+                    YAML::EmitterStyle::value) override
+    {
+    }
+    void OnMapEnd() override {}
+};
+
 } // namespace
 
 void problem_list::add(int line, const std::string& key, std::string message, std::string range,
@@ -106,10 +131,16 @@
         return std::nullopt;
     }
     try {
-        auto documents = YAML::LoadAll(text);
-        if (documents.size() == 1)
-            return documents.front();
-        problems.add(1, "", fmt::format("the file holds {} YAML documents", documents.size()),
+        // YAML::LoadAll() of yaml-cpp 0.7 does not return for texts such as `,`.
+        std::istringstream stream{text};
+        YAML::Parser parser{stream};
+        event_sink events;
+        const bool has_document = parser.HandleNextDocument(events);
+        if (has_document && !parser.HandleNextDocument(events))
+            return YAML::Load(text);
+        problems.add(1, "",
+                     has_document ? "the file holds more than one YAML document"
+                                  : "the file holds no YAML document",
                      "one YAML document", "put all keys into one document");
     } catch (const YAML::Exception& ex) {
         problems.add(std::max(ex.mark.line, 0) + 1, "", "not valid YAML: " + printable(ex.msg),
@@ -184,16 +215,16 @@
                                     setting.default_value));
 }
 
-std::string yaml_section::scalar(std::string_view key)
+std::optional<std::string> yaml_section::scalar(std::string_view key)
 {
     const auto& setting = declared(key);
     const auto node = value(key);
     if (!node)
-        return std::string{setting.default_value};
+        return setting.required ? std::nullopt : std::optional{std::string{setting.default_value}};
     if (node->IsScalar())
         return node->Scalar();
     unacceptable(setting, "not a single value");
-    return std::string{setting.default_value};
+    return std::nullopt;
 }
 
 std::vector<std::string> yaml_section::scalars(std::string_view key)
@@ -219,22 +250,21 @@
 
 std::string yaml_section::name(std::string_view key)
 {
-    std::string text = scalar(key);
-    if (is_name(text) || (text.empty() && !values_.contains(key)))
-        return text;
-    if (!problems_.has_problem(path_of(key)))
-        unacceptable(declared(key), fmt::format("`{}` is not a name", printable(text)));
+    const auto text = scalar(key);
+    if (text && is_name(*text))
+        return *text;
+    if (text)
+        unacceptable(declared(key), fmt::format("`{}` is not a name", printable(*text)));
     return {};
 }
 
 endpoint yaml_section::address(std::string_view key)
 {
-    const std::string text = scalar(key);
-    if (const auto address = ipv4_endpoint(text))
-        return *address;
-    if (values_.contains(key) && !problems_.has_problem(path_of(key)))
-        unacceptable(declared(key), fmt::format("`{}` is not an address", printable(text)));
-    return {};
+    const auto text = scalar(key);
+    const auto out = text ? ipv4_endpoint(*text) : std::nullopt;
+    if (text && !out)
+        unacceptable(declared(key), fmt::format("`{}` is not an address", printable(*text)));
+    return out.value_or(endpoint{});
 }
 
 std::vector<endpoint> yaml_section::addresses(std::string_view key)
@@ -264,25 +294,27 @@
 std::uint64_t yaml_section::integer(std::string_view key)
 {
     const auto& setting = declared(key);
-    const std::string text = scalar(key);
     const auto least = static_cast<std::uint64_t>(setting.least);
-    const auto n = parse_number<std::uint64_t>(text);
-    if (n && *n >= least && *n <= static_cast<std::uint64_t>(setting.most))
-        return *n;
-    unacceptable(setting, n ? fmt::format("{} is out of range", *n)
-                            : fmt::format("`{}` is not an integer", printable(text)));
+    if (const auto text = scalar(key)) {
+        const auto n = parse_number<std::uint64_t>(*text);
+        if (n && *n >= least && *n <= static_cast<std::uint64_t>(setting.most))
+            return *n;
+        unacceptable(setting, n ? fmt::format("{} is out of range", *n)
+                                : fmt::format("`{}` is not an integer", printable(*text)));
+    }
     return parse_number<std::uint64_t>(std::string{setting.default_value}).value_or(least);
 }
 
 double yaml_section::number(std::string_view key)
 {
     const auto& setting = declared(key);
-    const std::string text = scalar(key);
-    const auto n = parse_number<double>(text);
-    if (n && *n >= setting.least && *n <= setting.most)
-        return *n;
-    unacceptable(setting, n ? fmt::format("{} is out of range", *n)
-                            : fmt::format("`{}` is not a number", printable(text)));
+    if (const auto text = scalar(key)) {
+        const auto n = parse_number<double>(*text);
+        if (n && *n >= setting.least && *n <= setting.most)
+            return *n;
+        unacceptable(setting, n ? fmt::format("{} is out of range", *n)
+                                : fmt::format("`{}` is not a number", printable(*text)));
+    }
     return parse_number<double>(std::string{setting.default_value}).value_or(setting.least);
 }
 
@@ -299,10 +331,11 @@
         }
         return std::nullopt;
     };
-    const std::string text = scalar(key);
-    if (const auto index = index_of(text))
-        return *index;
-    unacceptable(setting, fmt::format("`{}` is not a choice", printable(text)));
+    if (const auto text = scalar(key)) {
+        if (const auto index = index_of(*text))
+            return *index;
+        unacceptable(setting, fmt::format("`{}` is not a choice", printable(*text)));
+    }
     return index_of(setting.default_value).value_or(0);
 }
 
--- a/src/libs/settings/yamlsection.h
+++ b/src/libs/settings/yamlsection.h
@@ -83,7 +83,8 @@
 private:
     [[nodiscard]] const declared_setting& declared(std::string_view key) const;
     [[nodiscard]] std::optional<YAML::Node> value(std::string_view key) const;
-    [[nodiscard]] std::string scalar(std::string_view key);
+    // Empty if a required key is missing or the value has a problem.
+    [[nodiscard]] std::optional<std::string> scalar(std::string_view key);
     [[nodiscard]] std::vector<std::string> scalars(std::string_view key);
     void unacceptable(const declared_setting& setting, const std::string& what);
 
