dispatch: tests of the gate, exact suspicion of links

Cause: the gate had no tests, and suspicion by time let a link that was verified in the same instant as a timeout carry a call unprobed.

--- a/src/libs/dispatch/linkpool.cpp
+++ b/src/libs/dispatch/linkpool.cpp
@@ -35,8 +35,7 @@
 
 bool link_pool::usable(const link& it, time_point now) const
 {
-    return it.state == link_state::idle && it.verified >= suspect_before_ &&
-           now - it.verified <= longest_unverified;
+    return it.state == link_state::idle && !it.suspect && now - it.verified <= longest_unverified;
 }
 
 std::optional<std::uint32_t> link_pool::take(time_point now)
@@ -68,7 +67,7 @@
     it->state = link_state::idle;
     it->since = now;
     if (verified)
-        it->verified = now;
+        verify(*it, now);
     if (retired_ || links_.size() > max_links_)
         close(*it, out);
     else if (!usable(*it, now))
@@ -81,7 +80,8 @@
     if (it == nullptr)
         return;
     close(*it, out);
-    suspect_before_ = now;
+    for (link& other : links_)
+        other.suspect = true;
     probe_unverified(now, out);
 }
 
@@ -98,7 +98,7 @@
     }
     it->state = link_state::idle;
     it->since = now;
-    it->verified = now;
+    verify(*it, now);
     if (retired_)
         close(*it, out);
 }
@@ -114,8 +114,8 @@
     }
     probe_sent_ = it->since;
     it->state = link_state::idle;
-    it->verified = now;
     it->since = now;
+    verify(*it, now);
     if (retired_ || links_.size() > max_links_)
         close(*it, out);
 }
@@ -187,10 +187,16 @@
 {
     return open_failed_ && std::none_of(links_.begin(), links_.end(), [&](const link& it) {
                return it.state == link_state::idle || it.state == link_state::probing ||
-                      (it.state == link_state::busy && it.verified >= suspect_before_);
+                      (it.state == link_state::busy && !it.suspect);
            });
 }
 
+void link_pool::verify(link& it, time_point now)
+{
+    it.verified = now;
+    it.suspect = false;
+}
+
 void link_pool::probe(link& it, time_point now, actions& out)
 {
     it.state = link_state::probing;
--- a/src/libs/dispatch/linkpool.h
+++ b/src/libs/dispatch/linkpool.h
@@ -57,11 +57,14 @@
         time_point verified{};
         // When the present state began.
         time_point since{};
+        // Another link was silent since this one was verified; probed before use.
+        bool suspect = false;
     };
 
     [[nodiscard]] link* find(std::uint32_t number);
     [[nodiscard]] bool usable(const link& it, time_point now) const;
     void probe(link& it, time_point now, actions& out);
+    static void verify(link& it, time_point now);
     void probe_unverified(time_point now, actions& out);
     void close(link& it, actions& out);
 
@@ -70,8 +73,6 @@
     std::uint32_t max_links_ = 2;
     // Numbers are not used twice, so a late report cannot reach another link.
     std::uint32_t next_number_ = 1;
-    // Links that were verified before this moment are probed before use.
-    time_point suspect_before_{};
     time_point probe_sent_{};
     time_point open_failed_at_{};
     bool open_failed_ = false;
--- /dev/null
+++ b/tests/auto/dispatch/tst_searchergate.cpp
@@ -0,0 +1,267 @@
+// Failures of a searcher and its calls as its gate handles them.
+#include "gatefixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace ebonywick;
+using namespace ebonywick::testing;
+
+// Guards against a searcher that was taken over being given all its slots.
+Test(searchergate, new_searcher_starts_at_cold_concurrency_and_ramps_up)
+{
+    gate_fixture it;
+    it.hold();
+    for (int n = 0; n < 6; ++n)
+        it.offer();
+    cr_assert_eq(it.gate.in_flight(), 1U);
+    cr_assert_eq(it.gate.queued(), 5U);
+    gate_fixture ramp;
+    ramp.hold();
+    for (int n = 0; n < 31; ++n)
+        ramp.serve();
+    cr_assert_eq(ramp.gate.limit(), 1U);
+    ramp.serve();
+    cr_assert_eq(ramp.gate.limit(), 2U);
+    for (int n = 0; n < 32; ++n)
+        ramp.serve();
+    cr_assert_eq(ramp.gate.limit(), 4U);
+    cr_assert(ramp.gate.warm());
+}
+
+// Guards against a ramp on replies that show a searcher under strain.
+Test(searchergate, late_replies_hold_the_ramp)
+{
+    gate_fixture it;
+    it.gate.set_group_median(milliseconds{1});
+    it.hold();
+    for (int n = 0; n < 200; ++n)
+        it.serve(n % 20 == 0 ? milliseconds{4} : milliseconds{1});
+    cr_assert_eq(it.gate.limit(), 1U);
+}
+
+// Guards against a searcher that turned cold again keeping its full load.
+Test(searchergate, every_sign_of_a_cold_searcher_drops_the_limit)
+{
+    gate_fixture reports;
+    reports.warm_up();
+    cr_assert(reports.gate.warm());
+    reports.serve(milliseconds{1}, reported_state::cold);
+    cr_assert_eq(reports.gate.limit(), 1U, "reported cold");
+    for (int n = 0; n < 100; ++n)
+        reports.serve(milliseconds{1}, reported_state::cold);
+    cr_assert_eq(reports.gate.limit(), 1U, "still reports cold");
+
+    gate_fixture restarted;
+    restarted.warm_up();
+    restarted.serve(milliseconds{1}, reported_state::warm, 2);
+    cr_assert_eq(restarted.gate.limit(), 1U, "boot id");
+
+    gate_fixture slow;
+    slow.warm_up();
+    for (int n = 0; n < 20; ++n)
+        slow.serve();
+    for (const int ms : {20, 1, 20, 1, 1})
+        slow.serve(milliseconds{ms});
+    cr_assert_eq(slow.gate.limit(), 4U, "two slow replies are stragglers");
+    slow.serve(milliseconds{20});
+    cr_assert_eq(slow.gate.limit(), 1U, "three of eight are slow");
+}
+
+// Guards against one silent link condemning the searcher, and against missing a
+// searcher that answers on no link.
+Test(searchergate, two_links_in_a_row_without_reply_turn_it_cold)
+{
+    gate_fixture it;
+    it.warm_up();
+    it.offer();
+    it.complete(it.started.at(0), reply_status::lost, milliseconds{900});
+    cr_assert(it.closed.contains(it.started.at(0).link));
+    cr_assert_eq(it.gate.limit(), 4U);
+    it.answer_probes();
+    cr_assert(it.serve());
+    it.started.clear();
+    it.offer();
+    it.offer();
+    cr_assert_eq(it.started.size(), 2U);
+    it.complete(it.started.at(0), reply_status::lost, milliseconds{900});
+    cr_assert_eq(it.gate.limit(), 4U, "a reply came in between");
+    it.complete(it.started.at(1), reply_status::lost, milliseconds{900});
+    cr_assert_eq(it.gate.limit(), 1U);
+}
+
+// Guards against callers' short deadlines being taken for a cold searcher.
+Test(searchergate, timeouts_shorter_than_a_usual_call_do_not_count)
+{
+    gate_fixture it;
+    it.warm_up();
+    for (int n = 0; n < 20; ++n)
+        it.serve(milliseconds{10});
+    for (int n = 0; n < 200; ++n)
+        it.serve(milliseconds{10});
+    const std::uint32_t limit = it.gate.limit();
+    it.started.clear();
+    it.offer(request_class::interactive, "a", milliseconds{5});
+    it.offer(request_class::interactive, "a", milliseconds{5});
+    for (const start_call& call : std::vector{it.started})
+        it.complete(call, reply_status::lost, milliseconds{5});
+    cr_assert_eq(it.gate.limit(), limit);
+}
+
+// Guards against interactive calls behind batch, and batch behind interactive
+// for ever.
+Test(searchergate, interactive_first_but_batch_waits_at_most_half_a_second)
+{
+    gate_fixture it{1};
+    it.hold();
+    it.offer();
+    const call_id batch = it.offer(request_class::batch, "b");
+    const call_id second = it.offer(request_class::batch, "b");
+    for (int n = 0; n < 99; ++n) {
+        it.offer();
+        it.now += milliseconds{5};
+        it.complete(it.started.back());
+        cr_assert_not(it.has_started(batch), "%d ms", 5 * n);
+    }
+    it.now += milliseconds{10};
+    it.offer();
+    it.complete(it.started.back());
+    cr_assert(it.has_started(batch));
+    it.complete(it.started.back());
+    cr_assert_not(it.has_started(second), "interactive calls take turns with overdue batch");
+    it.complete(it.started.back());
+    cr_assert(it.has_started(second));
+}
+
+// Guards against a caller with a long backlog starving others.
+Test(searchergate, batch_callers_take_turns)
+{
+    gate_fixture it{1};
+    it.hold();
+    it.offer();
+    for (int n = 0; n < 20; ++n)
+        it.offer(request_class::batch, "big");
+    const call_id small = it.offer(request_class::batch, "small");
+    it.complete(it.started.back());
+    it.complete(it.started.back());
+    cr_assert(it.has_started(small));
+}
+
+// Guards against calls that wait only to time out (I6: nothing was sent).
+Test(searchergate, refuses_when_the_wait_exceeds_the_time_left)
+{
+    gate_fixture it{1};
+    it.hold();
+    for (int n = 0; n < 40; ++n)
+        it.serve(milliseconds{20});
+    it.offer();
+    for (int n = 0; n < 4; ++n)
+        it.offer();
+    const call_id late = it.offer(request_class::interactive, "a", milliseconds{80});
+    cr_assert_eq(it.rejection(late), error_kind::deadline_too_short);
+    cr_assert(is_not_run(*it.rejection(late)));
+    const call_id fits = it.offer(request_class::interactive, "a", milliseconds{200});
+    cr_assert_eq(it.rejection(fits), std::nullopt);
+    it.now += milliseconds{201};
+    it.send(gate_tick{});
+    cr_assert_eq(it.rejection(fits), error_kind::deadline_too_short);
+}
+
+// Guards against an unbounded queue.
+Test(searchergate, refuses_when_the_queue_is_full)
+{
+    gate_fixture it{1};
+    it.hold();
+    for (int n = 0; n < 65; ++n)
+        it.offer();
+    cr_assert_eq(it.gate.queued(), 64U);
+    cr_assert_eq(it.rejection(it.offer()), error_kind::overloaded);
+}
+
+// Guards against a slot being reused while the searcher may still run the call.
+Test(searchergate, withdrawn_running_call_keeps_its_slot_until_it_ends)
+{
+    gate_fixture it{1};
+    it.hold();
+    const call_id id = it.offer(request_class::interactive, "a", milliseconds{100});
+    const call_id next = it.offer();
+    it.send(call_withdrawn{id});
+    it.send(call_withdrawn{id});
+    cr_assert_eq(it.cancelled.size(), 1U);
+    cr_assert_not(it.has_started(next));
+    it.now += milliseconds{149};
+    it.send(gate_tick{});
+    cr_assert_not(it.has_started(next));
+    it.now += milliseconds{1};
+    it.send(gate_tick{});
+    cr_assert_eq(it.rejection(id), error_kind::cancelled);
+    cr_assert(it.closed.contains(it.cancelled.at(0).link));
+    it.open_all(true);
+    it.answer_probes();
+    cr_assert(it.has_started(next));
+    // The late reply of the call that was given up.
+    it.complete(it.started.at(0));
+    cr_assert_eq(it.gate.in_flight(), 1U);
+}
+
+// Guards against sending calls that nobody waits for.
+Test(searchergate, withdrawn_queued_call_is_dropped)
+{
+    gate_fixture it{1};
+    it.hold();
+    it.offer();
+    const call_id id = it.offer();
+    it.send(call_withdrawn{id});
+    cr_assert_eq(it.rejection(id), error_kind::cancelled);
+    it.complete(it.started.at(0));
+    cr_assert_eq(it.started.size(), 1U);
+}
+
+// Guards against new work on a leaving searcher (I8), and against a reply that
+// was overtaken by the report of leaving.
+Test(searchergate, leaving_refuses_until_a_later_probe_says_otherwise)
+{
+    gate_fixture it;
+    it.warm_up();
+    it.offer();
+    it.offer();
+    it.offer();
+    it.complete(it.started.at(0), reply_status::completed, milliseconds{1},
+                reported_state::leaving);
+    cr_assert_eq(it.rejection(it.offer()), error_kind::searcher_leaving);
+    it.complete(it.started.at(1));
+    cr_assert(it.gate.leaving());
+    it.complete(it.started.at(2));
+    cr_assert_eq(it.gate.in_flight(), 0U);
+    it.now += milliseconds{501};
+    it.send(gate_tick{});
+    cr_assert_not(it.probing.empty());
+    it.answer_probes();
+    cr_assert_not(it.gate.leaving());
+    cr_assert_not(it.gate.warm(), "a searcher that returned is cold");
+}
+
+// Guards against new work in a failure domain that is out (I4) or on a searcher
+// that this host does not hold, and against a warm start afterwards (I3).
+Test(searchergate, domain_out_or_not_held_refuses_and_comes_back_cold)
+{
+    for (const bool domain : {true, false}) {
+        gate_fixture it{1};
+        it.warm_up();
+        const call_id running = it.offer();
+        const call_id queued = it.offer();
+        it.send(domain ? gate_event{domain_changed{true}}
+                       : gate_event{responsibility_changed{false}});
+        const error_kind kind = domain ? error_kind::failure_domain_out : error_kind::not_holder;
+        cr_assert_eq(it.rejection(queued), kind);
+        cr_assert_eq(it.rejection(it.offer()), kind);
+        cr_assert_eq(it.rejection(running), std::nullopt, "work in progress completes");
+        it.complete(it.started.at(0));
+        cr_assert(it.closed.contains(it.started.at(0).link));
+        cr_assert_eq(it.gate.in_flight(), 0U);
+        it.send(domain ? gate_event{domain_changed{false}}
+                       : gate_event{responsibility_changed{true}});
+        cr_assert_not(it.gate.warm());
+        it.open_all(true);
+        cr_assert(it.serve());
+    }
+}
--- a/tests/standins/searcher/main.cpp
+++ b/tests/standins/searcher/main.cpp
@@ -143,9 +143,11 @@
     const auto catalogue = read_catalogue(line.catalogue, shards);
     recorder record{line.record == nullptr ? "" : line.record};
     std::vector<std::unique_ptr<http_worker>> workers;
+    workers.reserve(static_cast<std::size_t>(line.threads));
     for (int n = 0; n < line.threads; ++n)
         workers.push_back(std::make_unique<http_worker>());
     std::vector<hosted_searcher> searchers;
+    searchers.reserve(shards * replicas);
     for (std::size_t n = 0; n < shards * replicas; ++n) {
         const std::string shard = "s" + std::to_string(n / replicas);
         http_worker& worker = *workers[n % workers.size()];
