--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -17,6 +17,8 @@
 struct log_field
 {
     log_field(std::string_view k, std::string_view v) : key(k), value(v) {}
+    log_field(std::string_view k, const std::string& v) : key(k), value(v) {}
+    log_field(std::string_view k, const char* v) : key(k), value(v) {}
     log_field(std::string_view k, std::string&& v) : key(k), value(std::move(v)) {}
     log_field(std::string_view k, std::uint64_t v) : key(k), value(std::to_string(v)) {}
     log_field(std::string_view k, std::uint32_t v) : key(k), value(std::to_string(v)) {}
--- /dev/null
+++ b/src/libs/node/controlplane.cpp
@@ -0,0 +1,442 @@
+// Adapter around the membership decisions. One lock guards the decision object;
+// the routing picture is published as an immutable value.
+#include "node/controlplane.h"
+
+#include "control/objectcodec.h"
+#include "node/storesync.h"
+#include "wire/wireconversion.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <ctime>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace ebonywick {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_interval{50};
+// Seeds are asked for the store objects this often until they are known.
+constexpr std::chrono::milliseconds seed_interval{500};
+
+std::string_view name_of(object_kind kind)
+{
+    return kind == object_kind::config ? "config" : "roster";
+}
+
+std::string_view name_of(host_status status)
+{
+    switch (status) {
+    case host_status::joining:
+        return "joining";
+    case host_status::serving:
+        return "serving";
+    case host_status::leaving:
+        return "leaving";
+    case host_status::down:
+        return "down";
+    }
+    return "down";
+}
+
+/// Processor time of the calling thread.
+duration thread_processor_time()
+{
+    timespec ts{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+    return std::chrono::seconds{ts.tv_sec} + std::chrono::nanoseconds{ts.tv_nsec};
+}
+
+std::optional<object_learned> parse_object(object_kind kind, object_version version,
+                                           const std::string& content)
+{
+    object_learned out{kind, version, content, {}, {}};
+    return leaf::try_handle_all(
+        [&]() -> result<std::optional<object_learned>> {
+            if (kind == object_kind::config) {
+                BOOST_LEAF_AUTO(object, decode_config(content));
+                out.config = std::move(object.config);
+            } else {
+                BOOST_LEAF_AUTO(object, decode_roster(content));
+                out.hosts = std::move(object.hosts);
+            }
+            return std::optional{std::move(out)};
+        },
+        []() -> std::optional<object_learned> { return std::nullopt; });
+}
+
+} // namespace
+
+struct control_plane::state
+{
+    state(const node_settings& node, incarnation_number life, object_store_client& client,
+          logger& logging, control_handlers handler_set)
+        : settings(node), incarnation(life), store(client), log(logging),
+          handlers(std::move(handler_set)),
+          agent(settings.self.id, life, life ^ 0x9e3779b97f4a7c15ULL, boot_clock::now())
+    {
+    }
+
+    void dispatch(const membership_event& ev);
+    // The following run with `mutex` held.
+    void handle_locked(const membership_event& ev, time_point now);
+    void execute(const membership_action& action, time_point now);
+    void execute(const send_control& action);
+    void execute(const adopt_object& action);
+    void execute(const read_store& action);
+    void execute(const holder_gained& action);
+    void execute(const holder_lost& action);
+    void execute(const host_changed& action);
+    void execute(const currency_changed& action);
+    void publish_view();
+
+    void receive(std::string_view bytes);
+    void run_ticks(const std::stop_token& stop);
+    void ask_seeds();
+    void send_to(const endpoint& to, const control_message& message);
+    sync_needs needs(object_kind kind);
+
+    node_settings settings;
+    incarnation_number incarnation;
+    object_store_client& store;
+    logger& log;
+    control_handlers handlers;
+
+    mutable std::mutex mutex;
+    // Guarded by mutex.
+    membership_agent agent;
+    std::optional<object_learned> offered;
+    stored_object config_object;
+    stored_object roster_object;
+    fleet_view current;
+    bool view_changed = false;
+    bool reads_wanted[2] = {false, false};
+    duration cpu = duration::zero();
+
+    std::atomic<std::shared_ptr<const fleet_view>> published{std::make_shared<fleet_view>()};
+    // Nanoseconds of the boot clock; copies of the agent's bounds that may be
+    // read without the lock right before a call is written.
+    std::atomic<std::int64_t> lease_until{0};
+    std::atomic<std::int64_t> current_until{0};
+
+    std::optional<peer_transport> transport;
+    std::optional<store_sync> sync;
+    std::jthread ticker;
+};
+
+void control_plane::state::dispatch(const membership_event& ev)
+{
+    const duration began = thread_processor_time();
+    {
+        const std::lock_guard lock{mutex};
+        handle_locked(ev, boot_clock::now());
+        cpu += thread_processor_time() - began;
+    }
+}
+
+void control_plane::state::handle_locked(const membership_event& ev, time_point now)
+{
+    for (const membership_action& it : agent.handle(ev, now))
+        execute(it, now);
+    lease_until.store(agent.lease_until().time_since_epoch().count());
+    current_until.store(agent.current_until().time_since_epoch().count());
+    if (view_changed) {
+        view_changed = false;
+        publish_view();
+    }
+}
+
+void control_plane::state::execute(const membership_action& action, time_point /*now*/)
+{
+    std::visit([this](const auto& it) { execute(it); }, action);
+}
+
+void control_plane::state::execute(const send_control& action)
+{
+    const roster_host* peer = current.hosts.find(action.to);
+    if (peer != nullptr)
+        send_to(peer->control, action.message);
+}
+
+void control_plane::state::execute(const adopt_object& action)
+{
+    if (!offered || offered->kind != action.kind || offered->version != action.version)
+        return;
+    stored_object& object = action.kind == object_kind::config ? config_object : roster_object;
+    object = stored_object{offered->version, offered->content};
+    if (action.kind == object_kind::config) {
+        current.config = offered->config;
+        current.config_version = offered->version;
+    } else {
+        current.hosts = offered->hosts;
+        current.roster_version = offered->version;
+    }
+    view_changed = true;
+    log.write(log_level::info, "object_adopted",
+              {{"object", name_of(action.kind)}, {"version", action.version}});
+}
+
+void control_plane::state::execute(const read_store& action)
+{
+    reads_wanted[static_cast<std::size_t>(action.kind)] = true;
+}
+
+void control_plane::state::execute(const holder_gained& action)
+{
+    log.write(log_level::info, "placement",
+              {{"searcher", action.searcher.value()},
+               {"holder", settings.self.id.value()},
+               {"decision", "hold"},
+               {"reason", std::string_view{action.reason}}});
+    view_changed = true;
+    handlers.on_responsibility(action.searcher, true);
+}
+
+void control_plane::state::execute(const holder_lost& action)
+{
+    log.write(log_level::info, "placement",
+              {{"searcher", action.searcher.value()},
+               {"holder", settings.self.id.value()},
+               {"decision", "give_up"},
+               {"reason", std::string_view{action.reason}}});
+    view_changed = true;
+    handlers.on_responsibility(action.searcher, false);
+}
+
+void control_plane::state::execute(const host_changed& action)
+{
+    log.write(log_level::info, "host_changed",
+              {{"host", action.host.value()}, {"status", name_of(action.status)}});
+    view_changed = true;
+}
+
+void control_plane::state::execute(const currency_changed& action)
+{
+    log.write(action.current ? log_level::info : log_level::warning, "currency_changed",
+              {{"current", std::string_view{action.current ? "yes" : "no"}},
+               {"config_version", current.config_version},
+               {"roster_version", current.roster_version}});
+}
+
+void control_plane::state::publish_view()
+{
+    auto view = std::make_shared<fleet_view>(current);
+    view->searchers.clear();
+    for (const service_declaration& service : view->config.services) {
+        for (const shard_map& map : service.shard_maps) {
+            for (const shard_declaration& shard : map.shards) {
+                for (const searcher_declaration& it : shard.replicas) {
+                    view->searchers.insert_or_assign(
+                        it.id, searcher_place{it, service.name, agent.holder_of(it.id),
+                                              view->config.is_domain_out(it.domain)});
+                }
+            }
+        }
+    }
+    published.store(view);
+    handlers.on_view(view);
+}
+
+void control_plane::state::send_to(const endpoint& to, const control_message& message)
+{
+    if (transport)
+        transport->send(to, encode_control(settings.self.id, message));
+}
+
+void control_plane::state::receive(std::string_view bytes)
+{
+    auto message = decode_control(bytes);
+    if (!message) {
+        log.write(log_level::warning, "control_message_invalid",
+                  {{"bytes", static_cast<std::uint64_t>(bytes.size())}});
+        return;
+    }
+    if (const auto* push = std::get_if<object_push>(&*message)) {
+        auto learned = parse_object(push->kind, push->version, push->content);
+        if (!learned)
+            return;
+        const duration began = thread_processor_time();
+        const std::lock_guard lock{mutex};
+        offered = std::move(learned);
+        handle_locked(*offered, boot_clock::now());
+        cpu += thread_processor_time() - began;
+        return;
+    }
+    dispatch(message_received{std::move(*message)});
+}
+
+void control_plane::state::ask_seeds()
+{
+    bool lacks[2] = {false, false};
+    {
+        const std::lock_guard lock{mutex};
+        lacks[0] = current.config_version == 0;
+        lacks[1] = current.roster_version == 0;
+    }
+    for (const object_kind kind : {object_kind::config, object_kind::roster}) {
+        if (!lacks[static_cast<std::size_t>(kind)])
+            continue;
+        for (const endpoint& it : settings.seeds)
+            send_to(it, object_fetch{settings.self.id, kind});
+    }
+}
+
+void control_plane::state::run_ticks(const std::stop_token& stop)
+{
+    time_point next_seeds{};
+    while (!stop.stop_requested()) {
+        std::this_thread::sleep_for(tick_interval);
+        dispatch(membership_tick{});
+        if (boot_clock::now() < next_seeds)
+            continue;
+        next_seeds = boot_clock::now() + seed_interval;
+        ask_seeds();
+    }
+}
+
+sync_needs control_plane::state::needs(object_kind kind)
+{
+    const std::lock_guard lock{mutex};
+    const auto& witnesses = current.hosts.witnesses;
+    sync_needs out;
+    out.watch = std::find(witnesses.begin(), witnesses.end(), settings.self.id) != witnesses.end();
+    out.version =
+        kind == object_kind::config ? current.config_version : current.roster_version;
+    out.read = std::exchange(reads_wanted[static_cast<std::size_t>(kind)], false) ||
+               out.version == 0;
+    return out;
+}
+
+control_plane::control_plane(const node_settings& settings, incarnation_number incarnation,
+                             object_store_client& store, logger& log, control_handlers handlers)
+    : state_(std::make_unique<state>(settings, incarnation, store, log, std::move(handlers)))
+{
+}
+
+control_plane::~control_plane()
+{
+    stop();
+}
+
+void control_plane::start()
+{
+    state& s = *state_;
+    s.transport.emplace(s.settings.self.control,
+                        [&s](std::string_view bytes) { s.receive(bytes); });
+    sync_handlers sync;
+    sync.needs = [&s](object_kind kind) { return s.needs(kind); };
+    sync.learn = [this](object_kind kind, const stored_object& object) {
+        learn(kind, object.version, object.content);
+    };
+    sync.view = [this] { return view(); };
+    sync.is_current = [this] { return is_current(boot_clock::now()); };
+    sync.status_of = [this](const host_id& host) { return status_of(host); };
+    s.sync.emplace(s.settings, s.incarnation, s.store, s.log, std::move(sync));
+    s.ticker = std::jthread{[&s](const std::stop_token& stop) { s.run_ticks(stop); }};
+}
+
+void control_plane::stop()
+{
+    state& s = *state_;
+    if (s.ticker.joinable()) {
+        s.ticker.request_stop();
+        s.ticker.join();
+    }
+    s.sync.reset();
+    s.transport.reset();
+}
+
+fleet_view_ptr control_plane::view() const
+{
+    return state_->published.load();
+}
+
+bool control_plane::is_current(time_point now) const
+{
+    return now.time_since_epoch().count() < state_->current_until.load();
+}
+
+bool control_plane::may_act(time_point now, time_point until) const
+{
+    return is_current(now) && until.time_since_epoch().count() < state_->lease_until.load();
+}
+
+std::vector<known_host> control_plane::hosts() const
+{
+    const std::lock_guard lock{state_->mutex};
+    std::vector<known_host> out;
+    for (const roster_host& it : state_->current.hosts.hosts)
+        out.push_back(known_host{it, state_->agent.status_of(it.id)});
+    return out;
+}
+
+host_status control_plane::status_of(const host_id& host) const
+{
+    const std::lock_guard lock{state_->mutex};
+    return state_->agent.status_of(host);
+}
+
+std::vector<searcher_id> control_plane::held() const
+{
+    const fleet_view_ptr seen = view();
+    const std::lock_guard lock{state_->mutex};
+    std::vector<searcher_id> out;
+    for (const auto& [id, place] : seen->searchers) {
+        if (state_->agent.holds(id, boot_clock::now()))
+            out.push_back(id);
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+bool control_plane::learn(object_kind kind, object_version version, const std::string& content)
+{
+    auto learned = parse_object(kind, version, content);
+    if (!learned) {
+        state_->log.write(log_level::error, "object_invalid",
+                          {{"object", name_of(kind)},
+                           {"version", version},
+                           {"remedy", "apply a valid declaration"}});
+        return false;
+    }
+    const duration began = thread_processor_time();
+    const std::lock_guard lock{state_->mutex};
+    state_->offered = std::move(learned);
+    state_->handle_locked(*state_->offered, boot_clock::now());
+    state_->cpu += thread_processor_time() - began;
+    return true;
+}
+
+stored_object control_plane::known_object(object_kind kind) const
+{
+    const std::lock_guard lock{state_->mutex};
+    return kind == object_kind::config ? state_->config_object : state_->roster_object;
+}
+
+void control_plane::begin_leave()
+{
+    state_->dispatch(leave_requested{});
+}
+
+void control_plane::release_holdings()
+{
+    state_->dispatch(holdings_drained{});
+}
+
+peer_transport::counters control_plane::traffic() const
+{
+    return state_->transport ? state_->transport->totals() : peer_transport::counters{};
+}
+
+duration control_plane::processor_time() const
+{
+    const std::lock_guard lock{state_->mutex};
+    return state_->cpu;
+}
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/node/gatesupervisor.cpp
@@ -0,0 +1,439 @@
+// Runs the gates' decisions and owns their links. Actions of a gate are carried
+// out after its lock is released, except for those that only touch its links.
+#include "node/gatesupervisor.h"
+
+#include "dispatch/searchergate.h"
+#include "searcherlink/searcherlink.h"
+
+#include <tbb/concurrent_queue.h>
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <shared_mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace ebonywick {
+
+namespace {
+
+constexpr std::chrono::milliseconds probe_timeout{100};
+
+/// A call between its offer and its end at the gate.
+struct pending_call
+{
+    call_request request;
+    call_origin origin;
+    duration waited = duration::zero();
+};
+
+struct outgoing_reply
+{
+    call_reply reply;
+    call_origin origin;
+};
+
+} // namespace
+
+struct gate_supervisor::gate
+{
+    explicit gate(const searcher_declaration& declared)
+        : declaration(declared), decision(declared)
+    {
+    }
+
+    std::mutex mutex;
+    // All guarded by mutex.
+    searcher_declaration declaration;
+    searcher_gate decision;
+    std::unordered_map<call_id, pending_call> calls;
+    std::map<std::uint32_t, std::unique_ptr<searcher_link>> links;
+    bool held = false;
+    bool domain_out = false;
+    bool stopped = false;
+    // What the searcher reported last.
+    std::vector<index_version> versions;
+};
+
+struct gate_supervisor::state
+{
+    state(node_metrics& counts, logger& logging, gate_handlers handler_set)
+        : metrics(counts), log(logging), handlers(std::move(handler_set)),
+          reaper([this](const std::stop_token& stop) { reap(stop); })
+    {
+    }
+
+    using gate_ptr = std::shared_ptr<gate>;
+
+    gate_ptr find(const searcher_id& searcher) const;
+    std::vector<gate_ptr> all() const;
+
+    /// Feeds one event to a gate whose lock the caller holds.
+    void handle(gate& g, const gate_ptr& owner, const gate_event& ev,
+                std::vector<outgoing_reply>& out);
+    void execute(gate& g, const gate_ptr& owner, const start_call& action);
+    void execute(gate& g, const reject_call& action, std::vector<outgoing_reply>& out);
+    void execute(gate& g, const gate_ptr& owner, const open_link& action);
+    void execute(gate& g, const close_link& action);
+    void execute(gate& g, const limit_changed& action);
+    void send(std::vector<outgoing_reply>& out);
+
+    void on_link_reply(const gate_ptr& owner, const link_reply& reply);
+    void finish_call(gate& g, const link_reply& reply, std::vector<outgoing_reply>& out);
+    void feed(const gate_ptr& owner, const gate_event& ev);
+    void fill_report(gate& g, searcher_report& report) const;
+    void reap(const std::stop_token& stop);
+
+    node_metrics& metrics;
+    logger& log;
+    gate_handlers handlers;
+    cancel_sender cancels;
+
+    mutable std::shared_mutex mutex;
+    // Guarded by mutex.
+    std::unordered_map<searcher_id, gate_ptr> gates;
+    fleet_view_ptr view = std::make_shared<fleet_view>();
+
+    // Closed links are destroyed here, because a link's own thread cannot wait
+    // for itself.
+    tbb::concurrent_bounded_queue<std::shared_ptr<searcher_link>> closed;
+    std::jthread reaper;
+};
+
+gate_supervisor::state::gate_ptr
+gate_supervisor::state::find(const searcher_id& searcher) const
+{
+    const std::shared_lock lock{mutex};
+    const auto it = gates.find(searcher);
+    return it == gates.end() ? nullptr : it->second;
+}
+
+std::vector<gate_supervisor::state::gate_ptr> gate_supervisor::state::all() const
+{
+    const std::shared_lock lock{mutex};
+    std::vector<gate_ptr> out;
+    out.reserve(gates.size());
+    for (const auto& [id, it] : gates)
+        out.push_back(it);
+    return out;
+}
+
+void gate_supervisor::state::handle(gate& g, const gate_ptr& owner, const gate_event& ev,
+                                    std::vector<outgoing_reply>& out)
+{
+    for (const gate_action& action : g.decision.handle(ev, boot_clock::now())) {
+        if (const auto* start = std::get_if<start_call>(&action))
+            execute(g, owner, *start);
+        else if (const auto* reject = std::get_if<reject_call>(&action))
+            execute(g, *reject, out);
+        else if (const auto* cancel = std::get_if<cancel_on_searcher>(&action))
+            cancels.cancel(g.declaration.address, cancel->id);
+        else if (const auto* open = std::get_if<open_link>(&action))
+            execute(g, owner, *open);
+        else if (const auto* close = std::get_if<close_link>(&action))
+            execute(g, *close);
+        else if (const auto* probe = std::get_if<probe_link>(&action)) {
+            const auto it = g.links.find(probe->link);
+            if (it != g.links.end())
+                it->second->probe(probe_timeout);
+        } else if (const auto* limit = std::get_if<limit_changed>(&action))
+            execute(g, *limit);
+    }
+}
+
+void gate_supervisor::state::execute(gate& g, const gate_ptr& owner, const start_call& action)
+{
+    const auto call = g.calls.find(action.id);
+    const auto link = g.links.find(action.link);
+    if (call == g.calls.end() || link == g.links.end())
+        return;
+    call->second.waited = action.waited;
+    metrics.call_waited(action.waited);
+    const call_request& request = call->second.request;
+    link->second->start(link_call{request.id, request.shard, request.wanted, request.idempotent,
+                                  action.timeout, request.body,
+                                  request.idempotency_key});
+    static_cast<void>(owner);
+}
+
+void gate_supervisor::state::execute(gate& g, const reject_call& action,
+                                     std::vector<outgoing_reply>& out)
+{
+    const auto it = g.calls.find(action.id);
+    if (it == g.calls.end())
+        return;
+    outgoing_reply rejected;
+    rejected.reply.id = action.id;
+    rejected.reply.searcher = g.declaration.id;
+    rejected.reply.failure = action.reason.kind;
+    fill_report(g, rejected.reply.report);
+    rejected.origin = it->second.origin;
+    out.push_back(std::move(rejected));
+    g.calls.erase(it);
+}
+
+void gate_supervisor::state::execute(gate& g, const gate_ptr& owner, const open_link& action)
+{
+    const std::weak_ptr<gate> weak = owner;
+    link_handlers link;
+    link.on_reply = [this, weak](const link_reply& reply) {
+        if (const gate_ptr it = weak.lock())
+            on_link_reply(it, reply);
+    };
+    link.on_probe = [this, weak](const link_probed& probed) {
+        if (const gate_ptr it = weak.lock())
+            feed(it, probed);
+    };
+    link.on_opened = [this, weak](const link_opened& opened) {
+        if (const gate_ptr it = weak.lock())
+            feed(it, opened);
+    };
+    link.may_send = [this](duration timeout) {
+        const time_point now = boot_clock::now();
+        return handlers.may_act(now, now + timeout);
+    };
+    execute(g, close_link{action.link});
+    g.links.emplace(action.link, std::make_unique<searcher_link>(
+                                     action.link, g.declaration.address, std::move(link)));
+}
+
+void gate_supervisor::state::execute(gate& g, const close_link& action)
+{
+    const auto it = g.links.find(action.link);
+    if (it == g.links.end())
+        return;
+    closed.push(std::shared_ptr<searcher_link>{std::move(it->second)});
+    g.links.erase(it);
+}
+
+void gate_supervisor::state::execute(gate& g, const limit_changed& action)
+{
+    log.write(log_level::info, "limit_changed",
+              {{"searcher", g.declaration.id.value()},
+               {"limit", action.limit},
+               {"slots", g.declaration.slots},
+               {"reason", std::string_view{action.reason}}});
+}
+
+void gate_supervisor::state::fill_report(gate& g, searcher_report& report) const
+{
+    report.searcher = g.declaration.id;
+    report.versions = g.versions;
+    report.queue_length = g.decision.queued();
+    report.cold = !g.decision.warm();
+    report.leaving = g.decision.leaving();
+}
+
+void gate_supervisor::state::finish_call(gate& g, const link_reply& reply,
+                                         std::vector<outgoing_reply>& out)
+{
+    const auto it = g.calls.find(reply.id);
+    if (it == g.calls.end())
+        return;
+    outgoing_reply done;
+    done.reply.id = reply.id;
+    done.reply.searcher = g.declaration.id;
+    done.reply.from = reply.from;
+    done.reply.shard = reply.shard;
+    done.reply.waited = it->second.waited;
+    fill_report(g, done.reply.report);
+    if (reply.version_not_held) {
+        done.reply.failure = error_kind::version_not_held;
+    } else if (reply.not_sent) {
+        done.reply.failure = error_kind::lease_lapsed;
+    } else {
+        switch (reply.status) {
+        case reply_status::completed:
+            done.reply.body = reply.body;
+            break;
+        case reply_status::shed:
+            done.reply.failure = error_kind::overloaded;
+            done.reply.report.shedding = true;
+            break;
+        case reply_status::lost:
+            done.reply.failure = error_kind::reply_lost;
+            break;
+        case reply_status::cancelled:
+            done.reply.failure = error_kind::cancelled;
+            break;
+        }
+    }
+    done.origin = std::move(it->second.origin);
+    g.calls.erase(it);
+    out.push_back(std::move(done));
+}
+
+void gate_supervisor::state::on_link_reply(const gate_ptr& owner, const link_reply& reply)
+{
+    std::vector<outgoing_reply> out;
+    {
+        const std::lock_guard lock{owner->mutex};
+        if (!reply.versions.empty())
+            owner->versions = reply.versions;
+        call_completed ev;
+        ev.id = reply.id;
+        ev.link = reply.link;
+        ev.status = reply.status;
+        ev.latency = reply.latency;
+        ev.reported = reply.reported;
+        ev.boot_id = reply.boot_id;
+        if (reply.version_not_held)
+            ev.status = reply_status::shed;
+        finish_call(*owner, reply, out);
+        handle(*owner, owner, ev, out);
+    }
+    send(out);
+}
+
+void gate_supervisor::state::feed(const gate_ptr& owner, const gate_event& ev)
+{
+    std::vector<outgoing_reply> out;
+    {
+        const std::lock_guard lock{owner->mutex};
+        handle(*owner, owner, ev, out);
+    }
+    send(out);
+}
+
+void gate_supervisor::state::send(std::vector<outgoing_reply>& out)
+{
+    for (outgoing_reply& it : out)
+        handlers.reply(std::move(it.reply), it.origin);
+}
+
+void gate_supervisor::state::reap(const std::stop_token& stop)
+{
+    std::shared_ptr<searcher_link> link;
+    while (true) {
+        closed.pop(link);
+        if (!link && stop.stop_requested())
+            return;
+        link.reset();
+    }
+}
+
+gate_supervisor::gate_supervisor(node_metrics& metrics, logger& log, gate_handlers handlers)
+    : state_(std::make_unique<state>(metrics, log, std::move(handlers)))
+{
+}
+
+gate_supervisor::~gate_supervisor()
+{
+    for (const auto& it : state_->all()) {
+        std::map<std::uint32_t, std::unique_ptr<searcher_link>> links;
+        {
+            const std::lock_guard lock{it->mutex};
+            it->stopped = true;
+            links.swap(it->links);
+        }
+    }
+    state_->reaper.request_stop();
+    state_->closed.push(nullptr);
+    state_->reaper.join();
+}
+
+void gate_supervisor::on_view(const fleet_view_ptr& view)
+{
+    {
+        const std::unique_lock lock{state_->mutex};
+        state_->view = view;
+    }
+    for (const auto& it : state_->all()) {
+        std::vector<outgoing_reply> out;
+        {
+            const std::lock_guard lock{it->mutex};
+            const searcher_place* place = view->find(it->declaration.id);
+            if (place == nullptr)
+                continue;
+            if (place->declaration != it->declaration) {
+                it->declaration = place->declaration;
+                it->decision.configure(place->declaration, boot_clock::now());
+            }
+            if (place->domain_out != it->domain_out) {
+                it->domain_out = place->domain_out;
+                state_->handle(*it, it, domain_changed{place->domain_out}, out);
+            }
+        }
+        state_->send(out);
+    }
+}
+
+void gate_supervisor::on_responsibility(const searcher_id& searcher, bool held)
+{
+    std::shared_ptr<gate> it = state_->find(searcher);
+    if (!it) {
+        const std::unique_lock lock{state_->mutex};
+        const searcher_place* place = state_->view->find(searcher);
+        if (!held || place == nullptr)
+            return;
+        it = std::make_shared<gate>(place->declaration);
+        state_->gates[searcher] = it;
+        it->domain_out = place->domain_out;
+    }
+    std::vector<outgoing_reply> out;
+    {
+        const std::lock_guard lock{it->mutex};
+        it->held = held;
+        state_->handle(*it, it, domain_changed{it->domain_out}, out);
+        state_->handle(*it, it, responsibility_changed{held}, out);
+    }
+    state_->send(out);
+}
+
+void gate_supervisor::offer(const call_request& request, const call_origin& origin)
+{
+    const std::shared_ptr<gate> it = state_->find(request.searcher);
+    std::vector<outgoing_reply> out;
+    if (!it) {
+        call_reply refused;
+        refused.id = request.id;
+        refused.searcher = request.searcher;
+        refused.report.searcher = request.searcher;
+        refused.failure = error_kind::not_holder;
+        state_->handlers.reply(std::move(refused), origin);
+        return;
+    }
+    {
+        const std::lock_guard lock{it->mutex};
+        const time_point now = boot_clock::now();
+        it->calls.insert_or_assign(request.id, pending_call{request, origin, {}});
+        const gate_call call{request.id, request.caller, request.traffic, request.idempotent,
+                             now + request.remaining};
+        state_->handle(*it, it, call_offered{call}, out);
+    }
+    state_->send(out);
+}
+
+void gate_supervisor::withdraw(const call_cancel& cancel)
+{
+    const std::shared_ptr<gate> it = state_->find(cancel.searcher);
+    if (it)
+        state_->feed(it, call_withdrawn{cancel.id});
+}
+
+void gate_supervisor::tick()
+{
+    for (const auto& it : state_->all())
+        state_->feed(it, gate_tick{});
+}
+
+gate_totals gate_supervisor::totals() const
+{
+    gate_totals out;
+    for (const auto& it : state_->all()) {
+        const std::lock_guard lock{it->mutex};
+        out.in_flight += it->decision.in_flight();
+        out.queued += it->decision.queued();
+        if (!it->held)
+            continue;
+        ++out.gates;
+        if (!it->decision.warm())
+            ++out.cold;
+    }
+    return out;
+}
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/node/gatesupervisor.h
@@ -0,0 +1,59 @@
+// The gates and links of the searchers that this host holds.
+#pragma once
+
+#include "base/clock.h"
+#include "logging/logger.h"
+#include "metrics/nodemetrics.h"
+#include "node/callrouter.h"
+#include "node/fleetview.h"
+#include "wire/dispatchmessage.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace ebonywick {
+
+struct gate_handlers
+{
+    /// True if this host may start a call that ends by `until`.
+    std::function<bool(time_point now, time_point until)> may_act;
+    std::function<void(call_reply, const call_origin&)> reply;
+};
+
+struct gate_totals
+{
+    std::uint64_t gates = 0;
+    std::uint64_t cold = 0;
+    std::uint64_t in_flight = 0;
+    std::uint64_t queued = 0;
+
+    auto operator<=>(const gate_totals&) const = default;
+};
+
+/// Thread-safe; each gate has its own lock.
+class gate_supervisor
+{
+public:
+    gate_supervisor(node_metrics& metrics, logger& log, gate_handlers handlers);
+    ~gate_supervisor();
+    gate_supervisor(const gate_supervisor&) = delete;
+    gate_supervisor& operator=(const gate_supervisor&) = delete;
+
+    void on_view(const fleet_view_ptr& view);
+    void on_responsibility(const searcher_id& searcher, bool held);
+
+    void offer(const call_request& request, const call_origin& origin);
+    void withdraw(const call_cancel& cancel);
+    /// Drives timeouts and probes; to be called every 10 to 50 ms.
+    void tick();
+
+    [[nodiscard]] gate_totals totals() const;
+
+private:
+    struct gate;
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/node/httpfrontend.cpp
@@ -0,0 +1,408 @@
+// HTTP server of a node, on cpp-httplib.
+#include "node/httpfrontend.h"
+
+#include "control/entrylist.h"
+#include "node/requestreader.h"
+#include "orders/orderkey.h"
+
+#include <fmt/format.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <sys/socket.h>
+
+#include <mutex>
+#include <optional>
+#include <random>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace ebonywick {
+
+namespace {
+
+using nlohmann::json;
+
+// A kept connection occupies a thread, so an idle one is closed after this time.
+constexpr std::chrono::seconds idle_connection{10};
+// A caller that sends its request slower than this is cut off; nothing was run.
+constexpr std::chrono::seconds request_read_timeout{5};
+constexpr std::size_t requests_per_connection = 1000000;
+
+/// Counts a caller's request while it is in progress.
+class request_guard
+{
+public:
+    explicit request_guard(std::atomic<std::size_t>& count) : count_(count) { ++count_; }
+    ~request_guard() { --count_; }
+    request_guard(const request_guard&) = delete;
+    request_guard& operator=(const request_guard&) = delete;
+
+private:
+    std::atomic<std::size_t>& count_;
+};
+
+const char* name_of(host_status status)
+{
+    switch (status) {
+    case host_status::joining:
+        return "joining";
+    case host_status::serving:
+        return "serving";
+    case host_status::leaving:
+        return "leaving";
+    case host_status::down:
+        return "down";
+    }
+    return "down";
+}
+
+request_id new_request_id()
+{
+    // Seeded from the system's entropy in each thread, so that no two hosts or
+    // lives of a host repeat an id.
+    thread_local std::random_device entropy;
+    thread_local std::mt19937_64 engine{(std::uint64_t{entropy()} << 32U) | entropy()};
+    thread_local const std::uint64_t high = (std::uint64_t{entropy()} << 32U) | entropy();
+    return request_id{high, engine()};
+}
+
+struct request_summary
+{
+    std::string_view outcome;
+    std::optional<error_kind> failure;
+    double covered = 0.0;
+};
+
+request_summary summarize(const query_outcome& outcome)
+{
+    if (const auto* answer = std::get_if<answered>(&outcome))
+        return {"answered", std::nullopt, answer->covered.share()};
+    if (const auto* refused = std::get_if<not_run>(&outcome))
+        return {"not_run", refused->reason.kind, 0.0};
+    return {"unknown", std::get<unknown_outcome>(outcome).reason.kind, 0.0};
+}
+
+request_summary summarize(const order_outcome& outcome)
+{
+    if (std::holds_alternative<order_answer>(outcome))
+        return {"answered", std::nullopt, 0.0};
+    if (const auto* refused = std::get_if<not_run>(&outcome))
+        return {"not_run", refused->reason.kind, 0.0};
+    return {"unknown", std::get<unknown_outcome>(outcome).reason.kind, 0.0};
+}
+
+} // namespace
+
+struct http_frontend::state
+{
+    state(const node_settings& node, frontend_parts components)
+        : settings(node), parts(std::move(components))
+    {
+    }
+
+    void add_routes();
+    void serve_search(const httplib::Request& request, httplib::Response& response);
+    void serve_order(const httplib::Request& request, httplib::Response& response);
+    void serve_entry_hosts(const httplib::Request& request, httplib::Response& response);
+    void serve_status(httplib::Response& response);
+    void serve_pushed_object(const httplib::Request& request, httplib::Response& response);
+    void serve_known_object(const httplib::Request& request, httplib::Response& response);
+    std::optional<not_run> refusal(time_point now) const;
+    void record(const caller_request& request, const request_summary& summary, time_point began);
+    void respond(httplib::Response& response, const http_reply& reply) const;
+
+    node_settings settings;
+    frontend_parts parts;
+    httplib::Server server;
+    std::thread listener;
+    std::atomic<std::size_t> active{0};
+    std::atomic<bool> closing{false};
+    std::atomic<bool> refusing{false};
+};
+
+std::optional<not_run> http_frontend::state::refusal(time_point now) const
+{
+    if (refusing.load())
+        return not_run{make_error(error_kind::shutting_down, "the host is leaving")};
+    if (!parts.control.is_current(now)) {
+        return not_run{make_error(error_kind::configuration_unconfirmed,
+                                  "the host cannot confirm that its configuration is current")};
+    }
+    return std::nullopt;
+}
+
+void http_frontend::state::respond(httplib::Response& response, const http_reply& reply) const
+{
+    response.status = reply.status;
+    if (closing.load())
+        response.set_header("Connection", "close");
+    response.set_content(reply.body, "application/json");
+}
+
+void http_frontend::state::record(const caller_request& request, const request_summary& summary,
+                                  time_point began)
+{
+    const std::string_view traffic =
+        request.traffic == request_class::interactive ? "interactive" : "batch";
+    parts.metrics.request_ended(request.service.value(), traffic, summary.outcome,
+                                boot_clock::now() - began);
+    if (summary.failure) {
+        parts.metrics.request_failed(*summary.failure);
+        parts.log.write(log_level::warning, "request_failed",
+                        {{"request", to_string(request.id)},
+                         {"service", request.service.value()},
+                         {"caller", request.caller.value()},
+                         {"outcome", summary.outcome},
+                         {"kind", to_string(*summary.failure)}});
+    } else if (summary.covered > 0.0) {
+        parts.metrics.answer_covered(request.service.value(), summary.covered);
+    }
+}
+
+void http_frontend::state::serve_search(const httplib::Request& request,
+                                        httplib::Response& response)
+{
+    const request_guard guard{active};
+    const time_point now = boot_clock::now();
+    const request_id id = new_request_id();
+    if (const auto refused = refusal(now)) {
+        parts.metrics.request_failed(refused->reason.kind);
+        return respond(response, write_refusal(id, *refused));
+    }
+    const auto header = [&](const char* name) { return request.get_header_value(name); };
+    const auto read = read_caller_request(id, request.matches[1], header, request.body,
+                                          parts.control.view()->config, now);
+    if (const auto* problem = std::get_if<error>(&read)) {
+        parts.metrics.request_failed(problem->kind);
+        return respond(response, write_refusal(id, not_run{*problem}));
+    }
+    const auto& caller = std::get<caller_request>(read);
+    const query_outcome outcome = parts.queries.run(caller);
+    record(caller, summarize(outcome), now);
+    respond(response, write_outcome(id, outcome));
+}
+
+void http_frontend::state::serve_order(const httplib::Request& request,
+                                       httplib::Response& response)
+{
+    const request_guard guard{active};
+    const time_point now = boot_clock::now();
+    const request_id id = new_request_id();
+    if (const auto refused = refusal(now)) {
+        parts.metrics.request_failed(refused->reason.kind);
+        return respond(response, write_refusal(id, *refused));
+    }
+    const auto header = [&](const char* name) { return request.get_header_value(name); };
+    const auto read = read_caller_request(id, request.matches[1], header, request.body,
+                                          parts.control.view()->config, now);
+    if (const auto* problem = std::get_if<error>(&read)) {
+        parts.metrics.request_failed(problem->kind);
+        return respond(response, write_refusal(id, not_run{*problem}));
+    }
+    const std::string key = request.get_header_value("Idempotency-Key");
+    if (request.get_header_value_count("Idempotency-Key") != 1) {
+        const error problem =
+            make_error(error_kind::invalid_request, "one Idempotency-Key is required");
+        return respond(response, write_refusal(id, not_run{problem}));
+    }
+    if (const auto problem = check_order_key(key))
+        return respond(response, write_refusal(id, not_run{*problem}));
+    const auto& caller = std::get<caller_request>(read);
+    const order_outcome outcome = parts.orders.run(caller, key);
+    record(caller, summarize(outcome), now);
+    respond(response, write_outcome(id, outcome));
+}
+
+void http_frontend::state::serve_entry_hosts(const httplib::Request& request,
+                                             httplib::Response& response)
+{
+    // A host that does not know the current configuration could name hosts that
+    // have left.
+    const time_point now = boot_clock::now();
+    if (!parts.control.is_current(now)) {
+        const error problem =
+            make_error(error_kind::configuration_unconfirmed,
+                       "the host cannot confirm that its configuration is current");
+        return respond(response, write_refusal(new_request_id(), not_run{problem}));
+    }
+    const fleet_view_ptr view = parts.control.view();
+    const caller_id caller{request.get_header_value("X-Caller")};
+    json hosts = json::array();
+    const auto status = [this](const host_id& host) { return parts.control.status_of(host); };
+    for (const entry_host& it : entry_hosts(view->hosts, view->config, status, caller)) {
+        hosts.push_back({{"id", it.id.value()},
+                         {"address", to_string(it.address)},
+                         {"failure_domain", it.domain.value()}});
+    }
+    const auto valid_for =
+        std::chrono::duration_cast<std::chrono::milliseconds>(entry_list_validity);
+    const json out{{"hosts", std::move(hosts)}, {"valid_for_ms", valid_for.count()}};
+    respond(response, http_reply{200, out.dump()});
+}
+
+void http_frontend::state::serve_status(httplib::Response& response)
+{
+    const fleet_view_ptr view = parts.control.view();
+    json hosts = json::array();
+    for (const known_host& it : parts.control.hosts()) {
+        hosts.push_back({{"id", it.place.id.value()},
+                         {"status", name_of(it.status)},
+                         {"failure_domain", it.place.domain.value()},
+                         {"http", to_string(it.place.http)}});
+    }
+    json held = json::array();
+    for (const searcher_id& it : parts.control.held())
+        held.push_back(it.value());
+    json services = json::array();
+    for (const service_declaration& it : view->config.services)
+        services.push_back(it.name.value());
+    const json out{{"host", settings.self.id.value()},
+                   {"incarnation", parts.incarnation},
+                   {"domain", settings.self.domain.value()},
+                   {"status", name_of(parts.control.status_of(settings.self.id))},
+                   {"current", parts.control.is_current(boot_clock::now())},
+                   {"config_version", view->config_version},
+                   {"roster_version", view->roster_version},
+                   {"preset", view->config.preset_in_force.value()},
+                   {"services", std::move(services)},
+                   {"hosts", std::move(hosts)},
+                   {"held", std::move(held)}};
+    respond(response, http_reply{200, out.dump()});
+}
+
+void http_frontend::state::serve_pushed_object(const httplib::Request& request,
+                                               httplib::Response& response)
+{
+    const std::string kind = request.get_header_value("X-Object-Kind");
+    const std::string version = request.get_header_value("X-Object-Version");
+    const auto n = std::strtoull(version.c_str(), nullptr, 10);
+    if ((kind != "config" && kind != "roster") || n == 0 ||
+        !parts.control.learn(kind == "config" ? object_kind::config : object_kind::roster, n,
+                             request.body)) {
+        const error problem = make_error(error_kind::invalid_declaration,
+                                         "the pushed object is not valid");
+        return respond(response, write_refusal(new_request_id(), not_run{problem}));
+    }
+    respond(response, http_reply{200, R"({"accepted":true})"});
+}
+
+void http_frontend::state::serve_known_object(const httplib::Request& request,
+                                              httplib::Response& response)
+{
+    const bool wants_roster = request.get_param_value("kind") == "roster";
+    const stored_object object =
+        parts.control.known_object(wants_roster ? object_kind::roster : object_kind::config);
+    if (object.version == 0) {
+        const error problem = make_error(error_kind::not_found, "no version is known yet");
+        response.status = 404;
+        response.set_content(write_refusal(new_request_id(), not_run{problem}).body,
+                             "application/json");
+        return;
+    }
+    response.set_header("X-Object-Version", std::to_string(object.version));
+    respond(response, http_reply{200, object.content});
+}
+
+void http_frontend::state::add_routes()
+{
+    using httplib::Request;
+    using httplib::Response;
+    server.Post(R"(/v1/services/([^/]+)/search)",
+                [this](const Request& in, Response& out) { serve_search(in, out); });
+    server.Post(R"(/v1/services/([^/]+)/orders)",
+                [this](const Request& in, Response& out) { serve_order(in, out); });
+    server.Get("/v1/entry-hosts",
+               [this](const Request& in, Response& out) { serve_entry_hosts(in, out); });
+    server.Get("/v1/status", [this](const Request&, Response& out) { serve_status(out); });
+    server.Post("/v1/control/config",
+                [this](const Request& in, Response& out) { serve_pushed_object(in, out); });
+    server.Get("/v1/control/config",
+               [this](const Request& in, Response& out) { serve_known_object(in, out); });
+    server.Get("/healthz", [this](const Request&, Response& out) {
+        respond(out, http_reply{200, R"({"alive":true})"});
+    });
+    server.Get("/readyz", [this](const Request&, Response& out) {
+        const bool ready = !refusal(boot_clock::now());
+        respond(out, http_reply{ready ? 200 : 503, ready ? R"({"ready":true})"
+                                                          : R"({"ready":false})"});
+    });
+    server.Get("/metrics", [this](const Request&, Response& out) {
+        out.set_content(parts.metrics.exposition(parts.gauges()), "text/plain; version=0.0.4");
+    });
+    server.set_error_handler([](const Request&, Response& out) {
+        if (!out.body.empty())
+            return;
+        const error problem =
+            out.status == 413
+                ? make_error(error_kind::body_too_large, "the body is larger than 1 MiB")
+                : make_error(error_kind::invalid_request,
+                             fmt::format("the request was refused with status {}", out.status));
+        const int status = out.status;
+        out.set_content(write_refusal(new_request_id(), not_run{problem}).body,
+                        "application/json");
+        out.status = status;
+    });
+}
+
+http_frontend::http_frontend(const node_settings& settings, frontend_parts parts)
+    : state_(std::make_unique<state>(settings, std::move(parts)))
+{
+    state& s = *state_;
+    s.server.new_task_queue = [n = settings.caller_connections] {
+        return new httplib::ThreadPool(n);
+    };
+    s.server.set_tcp_nodelay(true);
+    s.server.set_keep_alive_max_count(requests_per_connection);
+    s.server.set_keep_alive_timeout(idle_connection.count());
+    s.server.set_read_timeout(request_read_timeout);
+    s.server.set_payload_max_length(largest_body_bytes);
+    // The library sets SO_REUSEPORT by default, which would let a second process
+    // take part of the traffic unnoticed.
+    s.server.set_socket_options([](socket_t socket) {
+        const int on = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    });
+    s.add_routes();
+}
+
+http_frontend::~http_frontend()
+{
+    stop();
+}
+
+void http_frontend::start()
+{
+    state& s = *state_;
+    const endpoint& at = s.settings.self.http;
+    if (!s.server.bind_to_port(at.ip.c_str(), at.port))
+        throw std::runtime_error(fmt::format("cannot listen on {}; use a free address in `http`",
+                                             to_string(at)));
+    s.listener = std::thread{[&s] { s.server.listen_after_bind(); }};
+}
+
+void http_frontend::stop()
+{
+    if (!state_->listener.joinable())
+        return;
+    state_->server.stop();
+    state_->listener.join();
+}
+
+void http_frontend::close_connections()
+{
+    state_->closing.store(true);
+}
+
+void http_frontend::refuse_requests()
+{
+    state_->refusing.store(true);
+}
+
+std::size_t http_frontend::active() const
+{
+    return state_->active.load();
+}
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/node/node.cpp
@@ -0,0 +1,201 @@
+// Construction and wiring of a node's parts.
+#include "node/node.h"
+
+#include "control/entrylist.h"
+#include "metrics/nodemetrics.h"
+#include "node/callrouter.h"
+#include "node/controlplane.h"
+#include "node/gatesupervisor.h"
+#include "node/httpfrontend.h"
+#include "node/orderservice.h"
+#include "node/queryservice.h"
+#include "node/timerservice.h"
+#include "store/objectstoreclient.h"
+
+#include <random>
+#include <thread>
+
+namespace ebonywick {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_interval{10};
+constexpr std::chrono::milliseconds store_timeout{1000};
+
+/// Start time in the upper bits, so that a later life has a larger number, and
+/// random bits below, so that two lives never share one.
+incarnation_number new_incarnation()
+{
+    std::random_device entropy;
+    timespec ts{};
+    clock_gettime(CLOCK_REALTIME, &ts);
+    const auto ms = std::uint64_t(ts.tv_sec) * 1000 + std::uint64_t(ts.tv_nsec) / 1000000;
+    return (ms << 20U) | (entropy() & 0xfffffU);
+}
+
+} // namespace
+
+struct node::state
+{
+    state(const node_settings& node, logger& logging)
+        : settings(node), log(logging), incarnation(new_incarnation()),
+          store(node.store, store_timeout),
+          control(node, incarnation, store, logging, control_events()),
+          router(node.self, incarnation, node.worker_threads, [this] { return control.view(); },
+                 metrics, logging, router_events()),
+          queries(router, timers, metrics, logging, incarnation),
+          gates(metrics, logging, gate_events()), orders(store, queries, logging),
+          frontend(node, frontend_parts{control, queries, orders, metrics, logging,
+                                        [this] { return gauges(); }, incarnation})
+    {
+    }
+
+    control_handlers control_events()
+    {
+        control_handlers out;
+        out.on_view = [this](const fleet_view_ptr& view) {
+            gates.on_view(view);
+            queries.on_view(view);
+        };
+        out.on_responsibility = [this](const searcher_id& searcher, bool held) {
+            gates.on_responsibility(searcher, held);
+        };
+        return out;
+    }
+
+    router_handlers router_events()
+    {
+        router_handlers out;
+        out.on_request = [this](const call_request& request, const call_origin& origin) {
+            gates.offer(request, origin);
+        };
+        out.on_cancel = [this](const call_cancel& cancel) { gates.withdraw(cancel); };
+        out.on_reply = [this](const call_reply& reply) { queries.on_reply(reply); };
+        return out;
+    }
+
+    gate_handlers gate_events()
+    {
+        gate_handlers out;
+        out.may_act = [this](time_point now, time_point until) {
+            return control.may_act(now, until);
+        };
+        out.reply = [this](call_reply reply, const call_origin& origin) {
+            router.reply(std::move(reply), origin);
+        };
+        return out;
+    }
+
+    node_metrics::gauges gauges() const
+    {
+        node_metrics::gauges out;
+        const gate_totals totals = gates.totals();
+        const peer_transport::counters traffic = control.traffic();
+        const fleet_view_ptr view = control.view();
+        out.held_searchers = totals.gates;
+        out.cold_searchers = totals.cold;
+        out.calls_in_flight = totals.in_flight;
+        out.calls_queued = totals.queued;
+        out.config_version = view->config_version;
+        out.roster_version = view->roster_version;
+        out.current = control.is_current(boot_clock::now());
+        out.store_calls = store.calls();
+        out.control_sent_bytes = traffic.sent_bytes;
+        out.control_received_bytes = traffic.received_bytes;
+        out.control_messages = traffic.sent_messages + traffic.received_messages;
+        out.control_cpu_us = std::uint64_t(
+            std::chrono::duration_cast<std::chrono::microseconds>(control.processor_time())
+                .count());
+        out.log_lines_dropped = log.dropped();
+        return out;
+    }
+
+    void run_ticks(const std::stop_token& stop)
+    {
+        while (!stop.stop_requested()) {
+            std::this_thread::sleep_for(tick_interval);
+            gates.tick();
+            queries.tick();
+        }
+    }
+
+    node_settings settings;
+    logger& log;
+    incarnation_number incarnation;
+    node_metrics metrics;
+    timer_service timers;
+    object_store_client store;
+    control_plane control;
+    call_router router;
+    query_service queries;
+    gate_supervisor gates;
+    order_service orders;
+    http_frontend frontend;
+    drain_sequence drain;
+    bool released = false;
+    std::jthread ticker;
+};
+
+node::node(const node_settings& settings, logger& log)
+    : state_(std::make_unique<state>(settings, log))
+{
+}
+
+node::~node()
+{
+    state& s = *state_;
+    if (s.ticker.joinable()) {
+        s.ticker.request_stop();
+        s.ticker.join();
+    }
+    s.frontend.stop();
+    s.store.stop();
+    s.control.stop();
+    s.router.stop();
+}
+
+void node::start()
+{
+    state& s = *state_;
+    s.router.start();
+    s.control.start();
+    s.frontend.start();
+    s.ticker = std::jthread{[&s](const std::stop_token& stop) { s.run_ticks(stop); }};
+    s.log.write(log_level::info, "node_started",
+                {{"host", s.settings.self.id.value()},
+                 {"failure_domain", s.settings.self.domain.value()},
+                 {"http", to_string(s.settings.self.http)},
+                 {"incarnation", s.incarnation}});
+}
+
+void node::begin_drain()
+{
+    state& s = *state_;
+    s.log.write(log_level::info, "drain_started", {{"host", s.settings.self.id.value()}});
+    s.drain.begin(boot_clock::now());
+    s.control.begin_leave();
+    s.frontend.close_connections();
+}
+
+bool node::advance_drain()
+{
+    state& s = *state_;
+    const std::size_t requests = s.frontend.active() + s.orders.unrecorded();
+    const gate_totals totals = s.gates.totals();
+    const drain_phase phase = s.drain.advance(boot_clock::now(), requests,
+                                              totals.in_flight + totals.queued);
+    if (phase == drain_phase::handing_over)
+        s.frontend.refuse_requests();
+    if (phase != drain_phase::finished)
+        return false;
+    if (!std::exchange(s.released, true))
+        s.control.release_holdings();
+    return true;
+}
+
+std::size_t node::active_requests() const
+{
+    return state_->frontend.active();
+}
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/node/orderservice.h
@@ -0,0 +1,59 @@
+// Runs non-idempotent requests: the store record, the one call and the outcome.
+#pragma once
+
+#include "logging/logger.h"
+#include "node/queryservice.h"
+#include "orders/ordercoordinator.h"
+#include "store/objectstoreclient.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <variant>
+
+namespace ebonywick {
+
+using order_outcome = std::variant<order_answer, not_run, unknown_outcome>;
+
+/// Thread-safe. A request runs on its caller's thread; what is still to be
+/// recorded after the outcome is known runs on a thread of the service.
+class order_service
+{
+public:
+    order_service(object_store_client& store, query_service& queries, logger& log);
+    /// Finishes the records that are still to be written.
+    ~order_service();
+    order_service(const order_service&) = delete;
+    order_service& operator=(const order_service&) = delete;
+
+    [[nodiscard]] order_outcome run(const caller_request& request, const std::string& key);
+
+    /// Requests whose outcome is still to be recorded.
+    [[nodiscard]] std::size_t unrecorded() const;
+
+private:
+    struct running_order;
+
+    order_outcome advance(running_order& order, std::vector<order_action> actions);
+    std::vector<order_action> execute(running_order& order, const order_action& action);
+    void run_recorder(const std::stop_token& stop);
+
+    object_store_client& store_;
+    query_service& queries_;
+    logger& log_;
+
+    mutable std::mutex mutex_;
+    std::condition_variable_any changed_;
+    // Guarded by mutex_.
+    std::deque<std::unique_ptr<running_order>> unrecorded_;
+    std::size_t recording_ = 0;
+    std::jthread recorder_;
+};
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/libs/node/storesync.cpp
@@ -0,0 +1,181 @@
+// Threads that read and watch the store's objects and keep the roster.
+#include "node/storesync.h"
+
+#include "control/objectcodec.h"
+#include "control/rostermaintainer.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace ebonywick {
+
+namespace {
+
+// A waiting watch counts as a call, so a long one is cheaper than many reads.
+constexpr std::chrono::milliseconds watch_wait{10000};
+constexpr std::chrono::milliseconds idle_pause{50};
+constexpr std::chrono::milliseconds roster_interval{250};
+// Pause after a failed call; it grows to the maximum and is spread at random, so
+// that the hosts do not call a returning store all at once.
+constexpr std::chrono::milliseconds first_pause{200};
+constexpr std::chrono::milliseconds longest_pause{3000};
+// A host that knows no version yet asks this often.
+constexpr std::chrono::milliseconds read_interval{500};
+
+/// Growing random pause between failed calls.
+class backoff
+{
+public:
+    explicit backoff(std::uint64_t seed) : random_(seed) {}
+
+    std::chrono::milliseconds next()
+    {
+        const std::chrono::milliseconds most = pause_;
+        pause_ = std::min(pause_ * 2, longest_pause);
+        std::uniform_int_distribution<std::int64_t> spread{most.count() / 2, most.count()};
+        return std::chrono::milliseconds{spread(random_)};
+    }
+
+    void reset() { pause_ = first_pause; }
+
+private:
+    std::mt19937_64 random_;
+    std::chrono::milliseconds pause_ = first_pause;
+};
+
+void sleep_unless(const std::stop_token& stop, std::chrono::milliseconds pause)
+{
+    const auto until = std::chrono::steady_clock::now() + pause;
+    while (!stop.stop_requested() && std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(std::min(idle_pause, pause));
+}
+
+} // namespace
+
+struct store_sync::state
+{
+    state(const node_settings& node, incarnation_number life, object_store_client& client,
+          logger& logging, sync_handlers handler_set)
+        : settings(node), incarnation(life), store(client), log(logging),
+          handlers(std::move(handler_set)), random(life),
+          maintainer(node.self, life, boot_clock::now())
+    {
+    }
+
+    void run_object(object_kind kind, const std::stop_token& stop);
+    bool read_object(object_kind kind, object_version after, duration wait);
+    void run_upkeep(const std::stop_token& stop);
+    void write_roster(const roster_update& update);
+
+    node_settings settings;
+    incarnation_number incarnation;
+    object_store_client& store;
+    logger& log;
+    sync_handlers handlers;
+    // Used by the upkeep thread only.
+    std::mt19937_64 random;
+    roster_maintainer maintainer;
+    std::jthread config_thread;
+    std::jthread roster_thread;
+    std::jthread upkeep_thread;
+};
+
+bool store_sync::state::read_object(object_kind kind, object_version after, duration wait)
+{
+    const std::string key = kind == object_kind::config ? config_key : roster_key;
+    return leaf::try_handle_all(
+        [&]() -> result<bool> {
+            std::optional<stored_object> object;
+            if (wait > duration::zero()) {
+                BOOST_LEAF_ASSIGN(object, store.watch(key, after, wait));
+            } else {
+                BOOST_LEAF_ASSIGN(object, store.get(key));
+            }
+            if (object && object->version > after)
+                handlers.learn(kind, *object);
+            return true;
+        },
+        [] { return false; });
+}
+
+void store_sync::state::run_object(object_kind kind, const std::stop_token& stop)
+{
+    backoff pauses{incarnation + static_cast<std::uint64_t>(kind)};
+    while (!stop.stop_requested()) {
+        const sync_needs needs = handlers.needs(kind);
+        if (!needs.watch && !needs.read) {
+            std::this_thread::sleep_for(idle_pause);
+            continue;
+        }
+        const duration wait = needs.watch && needs.version > 0 ? duration{watch_wait}
+                                                               : duration::zero();
+        if (!read_object(kind, needs.version, wait)) {
+            sleep_unless(stop, pauses.next());
+            continue;
+        }
+        pauses.reset();
+        if (wait == duration::zero())
+            sleep_unless(stop, read_interval);
+    }
+}
+
+void store_sync::state::write_roster(const roster_update& update)
+{
+    const std::string change_id = fmt::format("{}-{}", settings.self.id.value(), random());
+    std::vector<std::string> change_ids{change_id};
+    const std::string content = encode(roster_object{update.hosts, std::move(change_ids)});
+    const put_result result = store.put(roster_key, content, update.expected);
+    const auto* accepted = std::get_if<put_accepted>(&result);
+    log.write(log_level::info, "roster_update",
+              {{"reason", update.reason},
+               {"expected", update.expected},
+               {"result", accepted != nullptr ? "accepted" : "not accepted"}});
+    if (accepted != nullptr) {
+        handlers.learn(object_kind::roster, stored_object{accepted->version, content});
+        return;
+    }
+    // Whether a lost write took effect shows in the object itself.
+    maintainer.note_conflict(boot_clock::now());
+    read_object(object_kind::roster, update.expected, duration::zero());
+}
+
+void store_sync::state::run_upkeep(const std::stop_token& stop)
+{
+    while (!stop.stop_requested()) {
+        std::this_thread::sleep_for(roster_interval);
+        const fleet_view_ptr view = handlers.view();
+        roster_view seen;
+        seen.hosts = view->hosts;
+        seen.version = view->roster_version;
+        seen.status_of = handlers.status_of;
+        seen.current = handlers.is_current();
+        if (const auto update = maintainer.propose(seen, boot_clock::now()))
+            write_roster(*update);
+    }
+}
+
+store_sync::store_sync(const node_settings& settings, incarnation_number incarnation,
+                       object_store_client& store, logger& log, sync_handlers handlers)
+    : state_(std::make_unique<state>(settings, incarnation, store, log, std::move(handlers)))
+{
+    state* s = state_.get();
+    s->config_thread = std::jthread{
+        [s](const std::stop_token& stop) { s->run_object(object_kind::config, stop); }};
+    s->roster_thread = std::jthread{
+        [s](const std::stop_token& stop) { s->run_object(object_kind::roster, stop); }};
+    s->upkeep_thread =
+        std::jthread{[s](const std::stop_token& stop) { s->run_upkeep(stop); }};
+}
+
+store_sync::~store_sync() = default;
+
+} // namespace ebonywick
--- a/src/libs/wire/dispatchmessage.h
+++ b/src/libs/wire/dispatchmessage.h
@@ -30,6 +30,8 @@
     // Sender's boot clock when the message was written.
     time_point sent_at{};
     std::string body;
+    // Caller's key; only for a call that is not idempotent.
+    std::string idempotency_key;
 
     auto operator<=>(const call_request&) const = default;
 };
--- a/src/libs/wire/wireconversion.cpp
+++ b/src/libs/wire/wireconversion.cpp
@@ -185,6 +185,7 @@
     out.set_remaining_us(std::uint64_t(whole_us(from.remaining).count()));
     out.set_sent_at_ns(std::uint64_t(from.sent_at.time_since_epoch().count()));
     out.set_body(from.body);
+    out.set_idempotency_key(from.idempotency_key);
 }
 
 void write(const call_reply& from, wire::DispatchMessage& to)
@@ -229,6 +230,7 @@
     out.remaining = from_us(in.remaining_us());
     out.sent_at = time_point{std::chrono::nanoseconds{std::int64_t(in.sent_at_ns())}};
     out.body = in.body();
+    out.idempotency_key = in.idempotency_key();
     return out;
 }
 
--- /dev/null
+++ b/tests/auto/transport/tst_peertransport.cpp
@@ -0,0 +1,86 @@
+// Guards the sockets between hosts and the age of queued messages.
+#include "transport/messageage.h"
+#include "transport/peertransport.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <system_error>
+#include <vector>
+
+using namespace ebonywick;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Collects messages; wait_for blocks until enough have come.
+class inbox
+{
+public:
+    void add(std::string_view bytes)
+    {
+        const std::lock_guard lock{mutex_};
+        messages_.emplace_back(bytes);
+        changed_.notify_all();
+    }
+
+    std::vector<std::string> wait_for(std::size_t n)
+    {
+        std::unique_lock lock{mutex_};
+        changed_.wait_for(lock, 20s, [&] { return messages_.size() >= n; });
+        return messages_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<std::string> messages_;
+};
+
+} // namespace
+
+// Failure: messages that are cut, reordered or lost between two live hosts.
+Test(peer_transport, messages_arrive_whole_and_in_order)
+{
+    inbox received;
+    peer_transport receiver{endpoint{"127.0.0.1", 25101},
+                            [&](std::string_view bytes) { received.add(bytes); }};
+    peer_transport sender{endpoint{"127.0.0.1", 25102}, [](std::string_view) {}};
+    for (int it = 0; it < 500; ++it)
+        sender.send(endpoint{"127.0.0.1", 25101}, std::string(std::size_t(it) * 7, 'x'));
+    const std::vector<std::string> messages = received.wait_for(500);
+    cr_assert_eq(messages.size(), 500U);
+    for (std::size_t it = 0; it < messages.size(); ++it)
+        cr_assert_eq(messages[it].size(), it * 7);
+}
+
+// Failure: a second process on the same address takes part of the messages.
+Test(peer_transport, second_listener_on_an_address_is_refused)
+{
+    peer_transport first{endpoint{"127.0.0.1", 25103}, [](std::string_view) {}};
+    bool refused = false;
+    try {
+        peer_transport second{endpoint{"127.0.0.1", 25103}, [](std::string_view) {}};
+    } catch (const std::system_error&) {
+        refused = true;
+    }
+    cr_assert(refused);
+}
+
+// Failure: a call that waited in a queue during an outage runs long after its
+// entry host gave it up.
+Test(message_age, delay_beyond_the_fastest_message_counts)
+{
+    message_age ages;
+    const host_id sender{"a"};
+    const time_point mine{100s};
+    const time_point theirs{5s};
+    cr_assert_eq(ages.of(sender, 1, theirs, mine).count(), 0);
+    cr_assert_eq(ages.of(sender, 1, theirs + 1s, mine + 1s + 30ms).count(), duration{30ms}.count());
+    cr_assert_eq(ages.of(sender, 1, theirs + 2s, mine + 4s).count(), duration{2s}.count());
+    // A restarted sender has another clock.
+    cr_assert_eq(ages.of(sender, 2, time_point{1s}, mine + 5s).count(), 0);
+}
