--- /dev/null
+++ b/src/libs/settings/reference.cpp
@@ -0,0 +1,51 @@
+// Reference pages in Markdown, made from the declared settings.
+#include "settings/reference.h"
+
+#include "settings/settingtable.h"
+
+#include <fmt/format.h>
+
+#include <span>
+#include <string_view>
+
+namespace ebonywick {
+
+namespace {
+
+std::string tables(std::span<const declared_setting> settings)
+{
+    std::string out;
+    // No section has this name, so that the first entry starts a table.
+    std::string_view section = "none";
+    for (const auto& setting : settings) {
+        if (setting.section != section) {
+            section = setting.section;
+            out += section.empty() ? "\n## Top level\n" : fmt::format("\n## {}\n", section);
+            out += "\n| key | type | default | unit | accepted | meaning |\n"
+                   "|---|---|---|---|---|---|\n";
+        }
+        out +=
+            fmt::format("| `{}` | {} | {} | {} | {} | {} |\n", setting.key, to_string(setting.type),
+                        setting.required ? "required" : fmt::format("`{}`", setting.default_value),
+                        setting.unit, range_text(setting), setting.help);
+    }
+    return out;
+}
+
+} // namespace
+
+std::string settings_reference()
+{
+    return "# Node settings\n\nMade by `ebonywick reference settings`; don't edit.\n"
+           "`ebonywick serve --settings FILE --check-settings` checks a file.\n" +
+           tables(node_setting_table());
+}
+
+std::string declaration_reference()
+{
+    return "# Declaration\n\nMade by `ebonywick reference declaration`; don't edit.\n"
+           "`ebonywick validate FILE` checks a file.\n" +
+           tables(declaration_table());
+}
+
+} // namespace ebonywick
