searcherlink: tests, and no second connection by the client itself

Cause: cpp-httplib connects again when it finds the kept connection closed, so a call could be written up to 500 ms after may_send was asked. Conclusion: a call is written on the connection that was checked, or not at all.

--- a/src/libs/dispatch/searchergate.h
+++ b/src/libs/dispatch/searchergate.h
@@ -118,9 +118,9 @@
 {
     call_id id;
     std::uint32_t link = 0;
-    duration timeout;
+    duration timeout = duration::zero();
     // Time that the call spent in the queue.
-    duration waited;
+    duration waited = duration::zero();
 
     auto operator<=>(const start_call&) const = default;
 };
--- a/src/libs/searcherlink/searcherlink.cpp
+++ b/src/libs/searcherlink/searcherlink.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr duration connect_timeout = std::chrono::milliseconds{500};
+// Documentation address (RFC 5737) that no host can bind to.
+constexpr const char* unusable_interface = "192.0.2.1";
 constexpr duration stop_interval = std::chrono::milliseconds{5};
 
 struct probe_task
@@ -150,6 +152,9 @@
     const link_probed health = check_health(connect_timeout);
     if (health.answered)
         handlers.on_probe(health);
+    // The client connects again by itself if it finds the connection closed right
+    // before a write; the call would then go out long after may_send was asked.
+    client.set_interface(unusable_interface);
     handlers.on_opened({number, health.answered});
 }
 
@@ -192,8 +197,7 @@
     if (answered)
         evaluate(res, call.idempotent, reply);
     else
-        reply.not_sent =
-            error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
+        reply.not_sent = error == httplib::Error::BindIPAddress;
     handlers.on_reply(reply);
 }
 
@@ -227,7 +231,7 @@
     wake.notify_all();
 }
 
-searcher_link::searcher_link(std::uint32_t number, endpoint searcher, link_handlers handlers)
+searcher_link::searcher_link(std::uint32_t number, const endpoint& searcher, link_handlers handlers)
     : state_(std::make_unique<state>(number, searcher, std::move(handlers)))
 {
     state_->thread = std::thread{[this] {
--- a/src/libs/searcherlink/searcherlink.h
+++ b/src/libs/searcherlink/searcherlink.h
@@ -68,7 +68,7 @@
 class searcher_link
 {
 public:
-    searcher_link(std::uint32_t number, endpoint searcher, link_handlers handlers);
+    searcher_link(std::uint32_t number, const endpoint& searcher, link_handlers handlers);
     /// Ends the call in progress at the price of the connection. Waits for the
     /// thread, so the caller must not hold a lock that the handlers take. May
     /// wait 500 ms for a connection that is being opened.
--- /dev/null
+++ b/tests/auto/searcherlink/tst_searcherlink.cpp
@@ -0,0 +1,226 @@
+// Calls over one link against servers that answer right, wrong, or not at all.
+#include "rawserver.h"
+#include "searcherlink/searcherlink.h"
+
+#include <criterion/criterion.h>
+
+#include <condition_variable>
+#include <future>
+
+using namespace ebonywick;
+using namespace ebonywick::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string good_body = R"({"version":3,"epoch":2,"shard":"s1","versions":[2,3],)"
+                              R"("state":"warm","boot_id":7,"load":1,"hits":[{"a":"b"}]})";
+
+/// Runs one call and gives its reply.
+class link_fixture
+{
+public:
+    explicit link_fixture(std::uint16_t port, bool may_send = true)
+        : link_(5, endpoint{"127.0.0.1", port},
+                {[this](const link_reply& it) { reply_.set_value(it); },
+                 [this](const link_probed& it) { probed_.push_back(it); },
+                 [this](const link_opened& it) { opened_.set_value(it); },
+                 [may_send](duration) {
+                     return may_send;
+                 }})
+    {
+    }
+
+    bool opened() { return opened_.get_future().get().success; }
+
+    link_reply call(bool idempotent = true, duration timeout = std::chrono::seconds{5})
+    {
+        start(idempotent, timeout);
+        return reply_.get_future().get();
+    }
+
+    void start(bool idempotent = true, duration timeout = std::chrono::seconds{5})
+    {
+        link_.start({{{1, 2}, 3, 4}, shard_name{"s1"}, {3, 2}, idempotent, timeout, "{}", "key"});
+    }
+
+    // Written before opened() returns.
+    [[nodiscard]] const std::vector<link_probed>& probed() const { return probed_; }
+
+private:
+    std::promise<link_reply> reply_;
+    std::promise<link_opened> opened_;
+    std::vector<link_probed> probed_;
+    // Last, so that its thread ends before what it writes to.
+    searcher_link link_;
+};
+
+/// Answers health requests well and calls with `bytes`.
+raw_server::handler call_answer(std::string bytes, bool close_after = false)
+{
+    return [bytes = std::move(bytes), close_after](const std::string& request) {
+        return request.starts_with("GET /health") ? answer{healthy} : answer{bytes, close_after};
+    };
+}
+
+link_reply reply_to(const std::string& bytes, bool close_after = false)
+{
+    raw_server server{call_answer(bytes, close_after)};
+    link_fixture it{server.port()};
+    cr_assert(it.opened());
+    return it.call();
+}
+
+} // namespace
+
+// Guards against fields of the request or the reply getting lost.
+Test(searcherlink, call_carries_its_headers_and_gives_the_whole_reply)
+{
+    raw_server server{call_answer(http_reply(200, good_body))};
+    link_fixture it{server.port()};
+    cr_assert(it.opened());
+    cr_assert_eq(it.probed().at(0).boot_id, 7U);
+    const link_reply reply = it.call();
+    cr_assert(reply.status == reply_status::completed);
+    cr_assert(reply.body == R"([{"a":"b"}])");
+    cr_assert(reply.from == (snapshot{3, 2}) && reply.shard == shard_name{"s1"});
+    cr_assert(reply.versions == (std::vector<index_version>{2, 3}));
+    cr_assert(reply.reported == reported_state::warm && reply.boot_id == 7 && reply.load == 1);
+    cr_assert_eq(server.connections(), 1U);
+    const std::string request = server.requests().back();
+    cr_assert(request.starts_with("POST /search "));
+    for (const char* header : {"X-Call-Id: ", "X-Deadline-Ms: 5000\r\n", "X-Index-Version: 3\r\n",
+                               "X-Shard-Epoch: 2\r\n", "X-Shard: s1\r\n"})
+        cr_assert(request.find(header) != std::string::npos, "%s", header);
+}
+
+// Guards against an order running without the key that counts its runs.
+Test(searcherlink, order_carries_its_key_and_returns_the_whole_reply)
+{
+    raw_server server{call_answer(http_reply(200, R"({"order":"printed"})"))};
+    link_fixture it{server.port()};
+    cr_assert(it.opened());
+    const link_reply reply = it.call(false);
+    cr_assert(reply.status == reply_status::completed);
+    cr_assert(reply.body == R"({"order":"printed"})");
+    cr_assert(server.requests().back().starts_with("POST /order "));
+    cr_assert(server.requests().back().find("X-Idempotency-Key: key\r\n") != std::string::npos);
+}
+
+// Guards against cut, invalid or foreign bodies being merged (I2, I5).
+Test(searcherlink, cut_or_invalid_replies_are_lost)
+{
+    const std::string whole = http_reply(200, good_body);
+    cr_assert(reply_to(whole.substr(0, whole.size() - 1), true).status == reply_status::lost);
+    cr_assert(reply_to("HTTP/1.1 200 X\r\n\r\n" + good_body, true).status == reply_status::lost,
+              "the end of a body without length is unknown");
+    for (const std::string& body :
+         {good_body + "}", good_body.substr(0, good_body.size() - 1), std::string{"[]"},
+          std::string{R"({"version":3,"epoch":2,"shard":"s1"})"},
+          std::string{R"({"version":3,"epoch":2,"shard":"s1","hits":{}})"}, std::string{}})
+        cr_assert(reply_to(http_reply(200, body)).status == reply_status::lost, "%s", body.c_str());
+    cr_assert(reply_to(http_reply(500, good_body)).status == reply_status::lost);
+}
+
+// Guards against an untrue "not run" (I6): only the searcher's own words count.
+Test(searcherlink, refusals_count_as_not_run_only_if_they_say_so)
+{
+    const std::string words = R"({"not_run":true,"versions":[4]})";
+    const link_reply held = reply_to(http_reply(409, words));
+    cr_assert(held.status == reply_status::shed && held.version_not_held);
+    cr_assert(held.versions == std::vector<index_version>{4});
+    for (const int status : {429, 503}) {
+        const link_reply shed = reply_to(http_reply(status, words));
+        cr_assert(shed.status == reply_status::shed && !shed.version_not_held);
+    }
+    for (const int status : {409, 429, 503}) {
+        cr_assert(reply_to(http_reply(status, "{}")).status == reply_status::lost);
+        cr_assert(reply_to(http_reply(status, "busy")).status == reply_status::lost);
+    }
+    cr_assert(reply_to(http_reply(500, words)).status == reply_status::lost);
+    cr_assert(reply_to(http_reply(499, R"({"cancelled":true})")).status == reply_status::cancelled);
+    cr_assert(reply_to(http_reply(499, "{}")).status == reply_status::lost);
+}
+
+// Guards against a call being written after the lease lapsed.
+Test(searcherlink, call_is_not_sent_when_it_may_not_be)
+{
+    raw_server server{call_answer(http_reply(200, good_body))};
+    link_fixture it{server.port(), false};
+    cr_assert(it.opened());
+    const link_reply reply = it.call();
+    cr_assert(reply.status == reply_status::cancelled && reply.not_sent);
+    cr_assert_eq(server.requests().size(), 1U, "only the health request");
+}
+
+// Guards against a call running twice because the client connects again: a
+// connection that the searcher closed carries nothing, and says so.
+Test(searcherlink, closed_connection_carries_no_call)
+{
+    raw_server server{[](const std::string&) {
+        return answer{healthy, true};
+    }};
+    link_fixture it{server.port()};
+    cr_assert(it.opened());
+    // The closing may arrive after the reply; a call that meets it is lost.
+    const link_reply reply = it.call();
+    cr_assert(reply.status == reply_status::lost);
+    for (const std::string& request : server.requests())
+        cr_assert(request.starts_with("GET /health"), "no second connection for the call");
+}
+
+// Guards against a silent connection holding the thread for ever, and against a
+// link that cannot be destroyed while a call waits.
+Test(searcherlink, silent_connection_times_out_and_can_be_destroyed, .timeout = 20)
+{
+    raw_server server{call_answer("")};
+    link_fixture late{server.port()};
+    cr_assert(late.opened());
+    const link_reply reply = late.call(true, milliseconds{30});
+    cr_assert(reply.status == reply_status::lost && !reply.not_sent);
+    link_fixture stopped{server.port()};
+    cr_assert(stopped.opened());
+    stopped.start(true, std::chrono::minutes{5});
+    while (server.requests().size() < 4)
+        std::this_thread::yield();
+}
+
+// Guards against a searcher that accepts but does not answer counting as open.
+Test(searcherlink, opening_needs_a_valid_health_reply)
+{
+    raw_server invalid{[](const std::string&) {
+        return answer{http_reply(200, "{")};
+    }};
+    link_fixture it{invalid.port()};
+    cr_assert_not(it.opened());
+    std::uint16_t port = 0;
+    {
+        const raw_server gone{call_answer("")};
+        port = gone.port();
+    }
+    link_fixture refused{port};
+    cr_assert_not(refused.opened());
+}
+
+// Guards against cancellation reaching the wrong call, or a silent searcher
+// blocking the end of the sender.
+Test(searcherlink, cancel_sender_deletes_the_call, .timeout = 20)
+{
+    raw_server server{[](const std::string&) {
+        return answer{http_reply(200, "{}")};
+    }};
+    raw_server silent{[](const std::string&) {
+        return answer{};
+    }};
+    cancel_sender sender;
+    const call_id id{{1, 2}, 3, 4};
+    sender.cancel({"127.0.0.1", server.port()}, id);
+    sender.cancel({"127.0.0.1", server.port()}, id);
+    while (server.requests().size() < 2)
+        std::this_thread::yield();
+    cr_assert(server.requests().front().starts_with("DELETE /calls/" + to_string(id) + " "));
+    cr_assert_eq(server.connections(), 1U, "the connection is kept");
+    sender.cancel({"127.0.0.1", silent.port()}, id);
+    while (silent.requests().empty())
+        std::this_thread::yield();
+}
