--- /dev/null
+++ b/scripts/support/bench_control.py
@@ -0,0 +1,3 @@
+"""Benches of control: config, domain, cold, drain, outage, control."""
+
+BENCHES = {}
--- /dev/null
+++ b/scripts/support/bench_query.py
@@ -0,0 +1,3 @@
+"""Benches of the query path: straggler, friday, silent, orders, node."""
+
+BENCHES = {}
