app: command line, operator session, examples and reference pages

Operators and nodes need the binary: serve, validate, show, diff, apply, preset, status, wait, witnesses, reference and completion, with documented exit codes.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,16 @@
 // Entry point of the ebonywick binary.
-int main()
+#include "commandline.h"
+#include "exitcodes.h"
+
+#include <cstdio>
+#include <exception>
+
+int main(int argc, char** argv)
 {
-    return 0;
+    try {
+        return ebonywick::run_command_line({argv + 1, argv + argc});
+    } catch (const std::exception& ex) {
+        std::fprintf(stderr, "ebonywick: %s\n", ex.what());
+        return ebonywick::exit_codes::other;
+    }
 }
