node: ports instead of concrete senders, lock shards of its own

Cause: the thread sanitizer cannot follow uninstrumented libraries, and query and gate services could only run with sockets. Change: query_service takes a call_port, gate_supervisor a link_factory; the requests in progress are in a map of lock shards instead of oneTBB's.

--- a/src/libs/node/callrouter.h
+++ b/src/libs/node/callrouter.h
@@ -5,6 +5,7 @@
 #include "logging/logger.h"
 #include "metrics/nodemetrics.h"
 #include "node/fleetview.h"
+#include "node/gatesupervisor.h"
 #include "transport/messageage.h"
 #include "transport/peertransport.h"
 #include "wire/dispatchmessage.h"
@@ -14,9 +15,6 @@
 
 namespace ebonywick {
 
-/// Where a call came from: a host of the roster, or this host if empty.
-using call_origin = host_id;
-
 struct router_handlers
 {
     /// A call for a searcher of this host.
--- a/src/libs/node/gatesupervisor.cpp
+++ b/src/libs/node/gatesupervisor.cpp
@@ -50,7 +50,7 @@
     searcher_declaration declaration;
     searcher_gate decision;
     std::unordered_map<call_id, pending_call> calls;
-    std::map<std::uint32_t, std::unique_ptr<searcher_link>> links;
+    std::map<std::uint32_t, link_port> links;
     bool held = false;
     bool domain_out = false;
     bool stopped = false;
@@ -60,8 +60,10 @@
 
 struct gate_supervisor::state
 {
-    state(node_metrics& counts, logger& logging, gate_handlers handler_set)
-        : metrics(counts), log(logging), handlers(std::move(handler_set)),
+    state(node_metrics& counts, logger& logging, link_factory link_source,
+          gate_handlers handler_set)
+        : metrics(counts), log(logging), links(std::move(link_source)),
+          handlers(std::move(handler_set)),
           reaper([this](const std::stop_token& stop) { reap(stop); })
     {
     }
@@ -74,7 +76,7 @@
     /// Feeds one event to a gate whose lock the caller holds.
     void handle(gate& g, const gate_ptr& owner, const gate_event& ev,
                 std::vector<outgoing_reply>& out);
-    void execute(gate& g, const gate_ptr& owner, const start_call& action);
+    void execute(gate& g, const start_call& action);
     void execute(gate& g, const reject_call& action, std::vector<outgoing_reply>& out);
     void execute(gate& g, const gate_ptr& owner, const open_link& action);
     void execute(gate& g, const close_link& action);
@@ -89,8 +91,8 @@
 
     node_metrics& metrics;
     logger& log;
+    link_factory links;
     gate_handlers handlers;
-    cancel_sender cancels;
 
     mutable std::shared_mutex mutex;
     // Guarded by mutex.
@@ -99,7 +101,7 @@
 
     // Closed links are destroyed here, because a link's own thread cannot wait
     // for itself.
-    tbb::concurrent_bounded_queue<std::shared_ptr<searcher_link>> closed;
+    tbb::concurrent_bounded_queue<std::shared_ptr<void>> closed;
     std::jthread reaper;
 };
 
@@ -126,11 +128,11 @@
 {
     for (const gate_action& action : g.decision.handle(ev, boot_clock::now())) {
         if (const auto* start = std::get_if<start_call>(&action))
-            execute(g, owner, *start);
+            execute(g, *start);
         else if (const auto* reject = std::get_if<reject_call>(&action))
             execute(g, *reject, out);
         else if (const auto* cancel = std::get_if<cancel_on_searcher>(&action))
-            cancels.cancel(g.declaration.address, cancel->id);
+            links.cancel(g.declaration.address, cancel->id);
         else if (const auto* open = std::get_if<open_link>(&action))
             execute(g, owner, *open);
         else if (const auto* close = std::get_if<close_link>(&action))
@@ -138,13 +140,13 @@
         else if (const auto* probe = std::get_if<probe_link>(&action)) {
             const auto it = g.links.find(probe->link);
             if (it != g.links.end())
-                it->second->probe(probe_timeout);
+                it->second.probe(probe_timeout);
         } else if (const auto* limit = std::get_if<limit_changed>(&action))
             execute(g, *limit);
     }
 }
 
-void gate_supervisor::state::execute(gate& g, const gate_ptr& owner, const start_call& action)
+void gate_supervisor::state::execute(gate& g, const start_call& action)
 {
     const auto call = g.calls.find(action.id);
     const auto link = g.links.find(action.link);
@@ -153,10 +155,9 @@
     call->second.waited = action.waited;
     metrics.call_waited(action.waited);
     const call_request& request = call->second.request;
-    link->second->start(link_call{request.id, request.shard, request.wanted, request.idempotent,
+    link->second.start(link_call{request.id, request.shard, request.wanted, request.idempotent,
                                   action.timeout, request.body,
                                   request.idempotency_key});
-    static_cast<void>(owner);
 }
 
 void gate_supervisor::state::execute(gate& g, const reject_call& action,
@@ -196,8 +197,8 @@
         return handlers.may_act(now, now + timeout);
     };
     execute(g, close_link{action.link});
-    g.links.emplace(action.link, std::make_unique<searcher_link>(
-                                     action.link, g.declaration.address, std::move(link)));
+    g.links.emplace(action.link,
+                    links.open(action.link, g.declaration.address, std::move(link)));
 }
 
 void gate_supervisor::state::execute(gate& g, const close_link& action)
@@ -205,7 +206,7 @@
     const auto it = g.links.find(action.link);
     if (it == g.links.end())
         return;
-    closed.push(std::shared_ptr<searcher_link>{std::move(it->second)});
+    closed.push(std::move(it->second.owner));
     g.links.erase(it);
 }
 
@@ -306,7 +307,7 @@
 
 void gate_supervisor::state::reap(const std::stop_token& stop)
 {
-    std::shared_ptr<searcher_link> link;
+    std::shared_ptr<void> link;
     while (true) {
         closed.pop(link);
         if (!link && stop.stop_requested())
@@ -315,15 +316,31 @@
     }
 }
 
-gate_supervisor::gate_supervisor(node_metrics& metrics, logger& log, gate_handlers handlers)
-    : state_(std::make_unique<state>(metrics, log, std::move(handlers)))
+link_factory make_http_links()
+{
+    const auto cancels = std::make_shared<cancel_sender>();
+    link_factory out;
+    out.open = [](std::uint32_t number, const endpoint& searcher, link_handlers handlers) {
+        const auto link = std::make_shared<searcher_link>(number, searcher, std::move(handlers));
+        return link_port{[it = link.get()](link_call call) { it->start(std::move(call)); },
+                         [it = link.get()](duration timeout) { it->probe(timeout); }, link};
+    };
+    out.cancel = [cancels](const endpoint& searcher, const call_id& id) {
+        cancels->cancel(searcher, id);
+    };
+    return out;
+}
+
+gate_supervisor::gate_supervisor(node_metrics& metrics, logger& log, link_factory links,
+                                 gate_handlers handlers)
+    : state_(std::make_unique<state>(metrics, log, std::move(links), std::move(handlers)))
 {
 }
 
 gate_supervisor::~gate_supervisor()
 {
     for (const auto& it : state_->all()) {
-        std::map<std::uint32_t, std::unique_ptr<searcher_link>> links;
+        std::map<std::uint32_t, link_port> links;
         {
             const std::lock_guard lock{it->mutex};
             it->stopped = true;
--- a/src/libs/node/gatesupervisor.h
+++ b/src/libs/node/gatesupervisor.h
@@ -4,8 +4,8 @@
 #include "base/clock.h"
 #include "logging/logger.h"
 #include "metrics/nodemetrics.h"
-#include "node/callrouter.h"
 #include "node/fleetview.h"
+#include "searcherlink/searcherlink.h"
 #include "wire/dispatchmessage.h"
 
 #include <cstdint>
@@ -14,6 +14,27 @@
 
 namespace ebonywick {
 
+/// Where a call came from: a host of the roster, or this host if empty.
+using call_origin = host_id;
+
+/// A connection to a searcher as the gates use it. It ends with `owner`.
+struct link_port
+{
+    std::function<void(link_call)> start;
+    std::function<void(duration timeout)> probe;
+    std::shared_ptr<void> owner;
+};
+
+/// Opens links and cancels calls; replaced in tests.
+struct link_factory
+{
+    std::function<link_port(std::uint32_t number, const endpoint&, link_handlers)> open;
+    std::function<void(const endpoint&, const call_id&)> cancel;
+};
+
+/// Links over HTTP.
+[[nodiscard]] link_factory make_http_links();
+
 struct gate_handlers
 {
     /// True if this host may start a call that ends by `until`.
@@ -35,7 +56,8 @@
 class gate_supervisor
 {
 public:
-    gate_supervisor(node_metrics& metrics, logger& log, gate_handlers handlers);
+    gate_supervisor(node_metrics& metrics, logger& log, link_factory links,
+                    gate_handlers handlers);
     ~gate_supervisor();
     gate_supervisor(const gate_supervisor&) = delete;
     gate_supervisor& operator=(const gate_supervisor&) = delete;
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -43,8 +43,8 @@
           control(node, incarnation, store, logging, control_events()),
           router(node.self, incarnation, node.worker_threads, [this] { return control.view(); },
                  metrics, logging, router_events()),
-          queries(router, timers, metrics, logging, incarnation),
-          gates(metrics, logging, gate_events()), orders(store, queries, logging),
+          queries(calls(), timers, metrics, logging, incarnation),
+          gates(metrics, logging, make_http_links(), gate_events()), orders(store, queries, logging),
           frontend(node, frontend_parts{control, queries, orders, metrics, logging,
                                         [this] { return gauges(); }, incarnation})
     {
@@ -74,6 +74,16 @@
         return out;
     }
 
+    call_port calls()
+    {
+        call_port out;
+        out.send = [this](call_request request, time_point deadline) {
+            return router.send(std::move(request), deadline);
+        };
+        out.cancel = [this](const call_cancel& cancel) { router.cancel(cancel); };
+        return out;
+    }
+
     gate_handlers gate_events()
     {
         gate_handlers out;
--- a/src/libs/node/queryservice.cpp
+++ b/src/libs/node/queryservice.cpp
@@ -4,13 +4,13 @@
 #include "node/queryservice.h"
 
 #include "admission/admissioncontroller.h"
+#include "base/lockshardedmap.h"
 #include "base/hashing.h"
 #include "query/querycoordinator.h"
 #include "query/replicaselector.h"
 #include "query/retrybudget.h"
 
 #include <fmt/format.h>
-#include <tbb/concurrent_hash_map.h>
 
 #include <atomic>
 #include <mutex>
@@ -44,12 +44,6 @@
     return out.empty() ? "none" : out;
 }
 
-struct request_id_compare
-{
-    static std::size_t hash(const request_id& id) { return id.low; }
-    static bool equal(const request_id& a, const request_id& b) { return a == b; }
-};
-
 } // namespace
 
 struct query_service::service_runtime
@@ -90,15 +84,15 @@
 
 struct query_service::state
 {
-    state(call_router& calls, timer_service& timer, node_metrics& counts, logger& logging,
+    state(call_port calls, timer_service& timer, node_metrics& counts, logger& logging,
           std::uint64_t first_seed)
-        : router(calls), timers(timer), metrics(counts), log(logging), seed(first_seed)
+        : port(std::move(calls)), timers(timer), metrics(counts), log(logging), seed(first_seed)
     {
     }
 
     using query_ptr = std::shared_ptr<active_query>;
     using runtime_ptr = std::shared_ptr<service_runtime>;
-    using active_map = tbb::concurrent_hash_map<request_id, query_ptr, request_id_compare>;
+    using active_map = lock_sharded_map<request_id, query_ptr>;
 
     struct outbox
     {
@@ -126,7 +120,7 @@
     void flush(outbox& out);
     void send(const outbox::call& call);
 
-    call_router& router;
+    call_port port;
     timer_service& timers;
     node_metrics& metrics;
     logger& log;
@@ -147,8 +141,7 @@
 
 query_service::state::query_ptr query_service::state::find(const request_id& id) const
 {
-    active_map::const_accessor it;
-    return active.find(it, id) ? it->second : nullptr;
+    return active.find(id).value_or(nullptr);
 }
 
 void query_service::state::apply(const runtime_ptr& runtime,
@@ -238,7 +231,7 @@
         it->done.release();
     }
     for (const call_cancel& it : out.cancels)
-        router.cancel(it);
+        port.cancel(it);
     for (const outbox::call& it : out.calls)
         send(it);
 }
@@ -259,7 +252,7 @@
     request.idempotency_key = call.query->order_key;
     const std::string_view reason = reason_of(call.action);
     metrics.call_sent(from.service.value(), reason);
-    const host_id holder = router.send(std::move(request), call.action.deadline);
+    const host_id holder = port.send(std::move(request), call.action.deadline);
     log.write(log_level::info, "routing",
               {{"request", to_string(from.id)},
                {"service", from.service.value()},
@@ -272,9 +265,9 @@
                {"passed_over", join(call.action.passed_over)}});
 }
 
-query_service::query_service(call_router& router, timer_service& timers, node_metrics& metrics,
+query_service::query_service(call_port port, timer_service& timers, node_metrics& metrics,
                              logger& log, std::uint64_t seed)
-    : state_(std::make_unique<state>(router, timers, metrics, log, seed))
+    : state_(std::make_unique<state>(std::move(port), timers, metrics, log, seed))
 {
 }
 
@@ -374,7 +367,7 @@
     auto query = std::make_shared<active_query>();
     query->request = request;
     query->runtime = runtime;
-    state_->active.insert({request.id, query});
+    state_->active.insert(request.id, query);
     state::outbox out;
     {
         const std::lock_guard lock{runtime->mutex};
@@ -421,7 +414,7 @@
         call.passed_over = choice->passed_over;
         out.calls.push_back(state::outbox::call{query, std::move(call)});
     }
-    state_->active.insert({request.id, query});
+    state_->active.insert(request.id, query);
     state_->flush(out);
     const duration left = request.deadline - boot_clock::now();
     if (query->done.try_acquire_for(std::max(left, duration::zero())))
--- a/src/libs/node/queryservice.h
+++ b/src/libs/node/queryservice.h
@@ -5,13 +5,14 @@
 #include "base/clock.h"
 #include "logging/logger.h"
 #include "metrics/nodemetrics.h"
-#include "node/callrouter.h"
 #include "node/fleetview.h"
 #include "node/timerservice.h"
 #include "query/outcome.h"
+#include "wire/dispatchmessage.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -30,11 +31,20 @@
     auto operator<=>(const caller_request&) const = default;
 };
 
+/// Way of calls to the searchers' holders.
+struct call_port
+{
+    /// Sends the call and returns the holder; empty: none, and a reply that says
+    /// so has come already.
+    std::function<host_id(call_request, time_point deadline)> send;
+    std::function<void(const call_cancel&)> cancel;
+};
+
 /// Thread-safe; each service has its own lock.
 class query_service
 {
 public:
-    query_service(call_router& router, timer_service& timers, node_metrics& metrics, logger& log,
+    query_service(call_port port, timer_service& timers, node_metrics& metrics, logger& log,
                   std::uint64_t seed);
     ~query_service();
     query_service(const query_service&) = delete;
