--- /dev/null
+++ b/tests/auto/control/tst_objectcodec.cpp
@@ -0,0 +1,123 @@
+// Guards the JSON form of the store objects.
+#include "control/objectcodec.h"
+
+#include "../settings/configurationgenerator.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <criterion/criterion.h>
+
+#include <random>
+
+using namespace ebonywick;
+
+namespace {
+
+// Empty if the text is refused.
+template <class Object>
+std::optional<Object> decoded(result<Object> (*decode)(const std::string&), const std::string& text)
+{
+    return leaf::try_handle_all(
+        [&]() -> result<std::optional<Object>> {
+            BOOST_LEAF_AUTO(object, decode(text));
+            return std::optional<Object>{std::move(object)};
+        },
+        [](const error& failure) -> std::optional<Object> {
+            cr_assert(failure.kind == error_kind::invalid_declaration);
+            cr_assert(!failure.message.empty());
+            return std::nullopt;
+        },
+        []() -> std::optional<Object> {
+            cr_assert_fail("an error without description");
+            return std::nullopt;
+        });
+}
+
+config_object sample()
+{
+    preset_declaration preset;
+    preset.name = preset_name{"p"};
+    const searcher_declaration searcher{searcher_id{"k"}, {"127.0.0.1", 1}, failure_domain_id{"a"}};
+    const service_declaration service{.name = service_name{"s"},
+                                      .shard_maps = {{1, {{shard_name{"x"}, {searcher}}}}}};
+    return {{{service}, {preset}, preset.name}, {"c1", "c2"}};
+}
+
+roster_object sample_roster()
+{
+    const roster_host host{
+        host_id{"h"}, failure_domain_id{"a"}, {"10.0.0.1", 1}, {"10.0.0.1", 2}, {"10.0.0.1", 3}};
+    return {{{host}, {host.id}, {host_id{"g"}}}, {"c"}};
+}
+
+} // namespace
+
+// Failure: a host reads another configuration than the operator wrote.
+Test(object_codec, objects_read_back_equal)
+{
+    fix_seed();
+    cr_assert(rc::check("round trip", [] {
+        const config_object object{any_configuration(),
+                                   {*rc::gen::string<std::string>(), "\xc4\x93", "id"}};
+        const auto again = decoded(decode_config, encode(object));
+        RC_ASSERT(again.has_value());
+        RC_ASSERT(again->config == object.config);
+        // Bytes that are not UTF-8 are replaced, so only the others compare.
+        RC_ASSERT(again->change_ids[1] == object.change_ids[1]);
+    }));
+    cr_assert(decoded(decode_roster, encode(sample_roster())) == sample_roster());
+    cr_assert((decoded(decode_config, encode(config_object{})) == config_object{}));
+}
+
+// Failure: a mistaken key or type is taken silently as a default.
+Test(object_codec, reading_is_strict)
+{
+    const auto text = encode(sample());
+    cr_assert(decoded(decode_config, text) == sample());
+    const std::pair<const char*, const char*> edits[] = {
+        {"\"slots\":1", "\"slots\":-1"},
+        {"\"slots\":1", "\"slots\":1.5"},
+        {"\"slots\":1", "\"slots\":4294967296"},
+        {"\"slots\":1", "\"slots\":1,\"slots\":1"},
+        {"\"slots\":1", "\"slots\":1,\"more\":1"},
+        {"\"slots\":1", "\"slot\":1"},
+        {"\"batch_queue\":1024,", ""},
+        {"\"deadline_ns\":1000000000", "\"deadline_ns\":18446744073709551615"},
+        {"127.0.0.1:1", "127.0.0.1:01"},
+        {"\"interactive\"", "\"other\""},
+        {"\"domains_out\":[]", "\"domains_out\":[1]"},
+        {"[\"c1\",\"c2\"]", "{}"},
+        {"\"least_coverage\":1.0", "\"least_coverage\":null"}};
+    for (const auto& [from, to] : edits) {
+        auto edited = text;
+        const auto at = edited.find(from);
+        cr_assert_neq(at, std::string::npos, "%s", from);
+        edited.replace(at, std::string{from}.size(), to);
+        cr_expect(!decoded(decode_config, edited).has_value(), "%s", to);
+    }
+    auto crowded = sample();
+    crowded.change_ids.resize(kept_change_ids + 1);
+    cr_assert(!decoded(decode_config, encode(crowded)).has_value());
+    cr_assert(!decoded(decode_roster, text).has_value());
+}
+
+// Failure: a damaged object in the store or from a peer crashes the host.
+Test(object_codec, mutated_and_arbitrary_text_never_crashes, .timeout = 60)
+{
+    std::mt19937 engine{5};
+    int refused = 0;
+    for (int round = 0; round < 4000; ++round) {
+        auto text = round % 2 == 0 ? encode(sample()) : encode(sample_roster());
+        for (auto edits = 1 + engine() % 4; edits > 0; --edits) {
+            const auto at = engine() % (text.size() + 1);
+            if (engine() % 2 == 0)
+                text.erase(at, 1 + engine() % 20);
+            else
+                text.insert(at, 1, "{}[]:,\"0-e.\\u\x01\xff"[engine() % 15]);
+        }
+        refused += decoded(decode_config, text).has_value() ? 0 : 1;
+        refused += decoded(decode_roster, text).has_value() ? 0 : 1;
+    }
+    // No text is both a configuration and a roster.
+    cr_assert_geq(refused, 4000);
+    cr_assert(!decoded(decode_config, std::string(100000, '[')).has_value());
+}
--- /dev/null
+++ b/tests/auto/settings/tst_capacitywarnings.cpp
@@ -0,0 +1,59 @@
+// Guards the warnings before a failure domain is taken out.
+#include "settings/capacitywarnings.h"
+
+#include <criterion/criterion.h>
+
+using namespace ebonywick;
+
+namespace {
+
+// One shard with a replica in each domain a, b, ... of the given slots.
+configuration with_slots(const std::vector<std::uint32_t>& slots)
+{
+    shard_declaration shard{shard_name{"x"}, {}};
+    for (const auto count : slots) {
+        searcher_declaration searcher;
+        searcher.domain =
+            failure_domain_id{std::string(1, static_cast<char>('a' + shard.replicas.size()))};
+        searcher.slots = count;
+        shard.replicas.push_back(searcher);
+    }
+    configuration out;
+    out.services = {{.name = service_name{"s"}, .shard_maps = {{1, {shard}}}}};
+    out.presets.resize(1);
+    return out;
+}
+
+configuration without(configuration config, const std::vector<std::string>& domains)
+{
+    config.presets[0].domains_out.clear();
+    for (const auto& domain : domains)
+        config.presets[0].domains_out.emplace_back(domain);
+    return config;
+}
+
+} // namespace
+
+// Failure: operators learn from refused queries that a shard is short.
+Test(capacity_warnings, shards_below_half_of_their_slots_are_named)
+{
+    const auto three = with_slots({2, 2, 2});
+    cr_assert((capacity_warnings(three, without(three, {"a"})).empty()));
+    const auto few = capacity_warnings(three, without(three, {"a", "b"}));
+    cr_assert_eq(few.size(), 1U);
+    cr_assert(few[0].replicas_left == 1 && few[0].slots_left == 2 && few[0].slots_needed == 3);
+    const auto uneven = with_slots({3, 2});
+    cr_assert((capacity_warnings(uneven, without(uneven, {"b"})).empty()));
+    cr_assert_eq(capacity_warnings(uneven, without(uneven, {"a"})).size(), 1U);
+    const auto none = capacity_warnings(three, without(three, {"a", "b", "c"}));
+    cr_assert(none.size() == 1 && none[0].replicas_left == 0);
+    cr_assert(to_string(none[0]).find("without a replica") != std::string::npos);
+}
+
+// Failure: each later change repeats the warnings of an earlier one.
+Test(capacity_warnings, known_shortages_are_not_repeated)
+{
+    const auto out = without(with_slots({1, 1, 1}), {"a", "b"});
+    cr_assert(capacity_warnings(out, out).empty());
+    cr_assert_eq(capacity_warnings({}, out).size(), 1U);
+}
