membership: cost of a message independent of the fleet size

Cause: every message recomputed all claims and walked the member table; a trial with 64 hosts in one process took twice the time per host of 17. Change: claims are recomputed on ticks and when fences, states or versions change; news that still spreads is kept in its own set; successors are looked up by index.

--- a/src/libs/membership/agentmessages.cpp
+++ b/src/libs/membership/agentmessages.cpp
@@ -80,6 +80,7 @@
     if (!gossip.apply(update))
         return;
     const host_status status = gossip.status_of(update.host);
+    claims_changed = claims_changed || status != former;
     if (status != former)
         actions.emplace_back(host_changed{update.host, status});
 }
@@ -158,6 +159,7 @@
 void membership_agent::state::on(const fence_reply& message, time_point)
 {
     fences.note_reply(message);
+    claims_changed = true;
 }
 
 } // namespace ebonywick
--- a/src/libs/membership/agentmonitor.cpp
+++ b/src/libs/membership/agentmonitor.cpp
@@ -41,6 +41,7 @@
         return;
     if (gossip.assert_down(message.from))
         actions.emplace_back(host_changed{message.from, host_status::down});
+    claims_changed = true;
     notify_successors(message.from, now);
 }
 
--- a/src/libs/membership/agentstate.h
+++ b/src/libs/membership/agentstate.h
@@ -83,6 +83,10 @@
 
     bool released = false;
     bool was_current = false;
+    // Fences, states or versions changed since claims were recomputed.
+    bool claims_changed = true;
+    // Lease and currency at the last recomputation.
+    bool acted = false;
     // The present versions are settled (see responsibility).
     bool settled = false;
     // Settled once since this host started or entered the roster.
--- a/src/libs/membership/gossip.cpp
+++ b/src/libs/membership/gossip.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -36,6 +37,7 @@
                                       : it->second);
     }
     members_ = std::move(kept);
+    std::erase_if(spreading_, [&](const auto& it) { return !members_.contains(it); });
 }
 
 std::uint32_t member_gossip::retransmissions() const
@@ -61,6 +63,7 @@
     ++update.sequence;
     update.status = host_status::down;
     it->second = record{update, retransmissions()};
+    spreading_.insert(update.host);
     return update;
 }
 
@@ -77,6 +80,7 @@
     if (it == members_.end() || !is_newer(update, it->second.update))
         return false;
     it->second = record{update, retransmissions()};
+    spreading_.insert(update.host);
     return true;
 }
 
@@ -115,18 +119,21 @@
         if (const auto it = members_.find(*about); it != members_.end())
             add(it->second.update);
 
-    auto it = members_.lower_bound(next_news_);
-    for (std::size_t n = 0; n < members_.size() && updates.size() < max_updates; ++n, ++it) {
-        if (it == members_.end())
-            it = members_.begin();
-        if (it->second.sends_left == 0 || it->first == to)
+    auto news = spreading_.lower_bound(next_news_);
+    for (std::size_t n = spreading_.size(); n > 0 && updates.size() < max_updates; --n) {
+        if (news == spreading_.end())
+            news = spreading_.begin();
+        if (*news == to) {
+            ++news;
             continue;
-        --it->second.sends_left;
-        add(it->second.update);
+        }
+        record& known = members_.at(*news);
+        add(known.update);
+        news = --known.sends_left == 0 ? spreading_.erase(news) : std::next(news);
     }
-    next_news_ = it == members_.end() ? host_id{} : it->first;
+    next_news_ = news == spreading_.end() ? host_id{} : *news;
 
-    it = members_.lower_bound(next_repeat_);
+    auto it = members_.lower_bound(next_repeat_);
     for (std::size_t n = 0; n < std::min(repeats, members_.size()); ++n, ++it) {
         if (it == members_.end())
             it = members_.begin();
--- a/src/libs/membership/gossip.h
+++ b/src/libs/membership/gossip.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace ebonywick {
@@ -61,6 +62,9 @@
     std::map<host_id, record> members_;
     // Where the rotation goes on.
     host_id next_repeat_;
+    // Hosts whose record has sends left; keeps the cost of a message independent of
+    // the fleet size.
+    std::set<host_id> spreading_;
     // Where the search for news goes on, so that no host's news is preferred.
     host_id next_news_;
 };
--- a/src/libs/membership/membershipagent.cpp
+++ b/src/libs/membership/membershipagent.cpp
@@ -73,6 +73,7 @@
 {
     if (!objects.learn(object.kind, object.version, object.content))
         return;
+    claims_changed = true;
     actions.emplace_back(adopt_object{object.kind, object.version});
     if (object.kind == object_kind::config) {
         config = object.config;
@@ -141,6 +142,7 @@
         for (auto& [host, it] : subjects)
             it.last_heard = std::max(it.last_heard, now - lease_duration / 2);
     last_tick = now;
+    claims_changed = true;
     tracker.advance(now);
     use_confirmed_roster(now);
     send_due_heartbeats(now);
@@ -218,7 +220,13 @@
         actions.emplace_back(host_changed{self, host_status::serving});
         announce_to_neighbours(now);
     }
-    if (has_lease && current)
+    // Plain heartbeats change no claim; at 460 hosts this saves most of the cost.
+    const bool acts = has_lease && current;
+    if (!claims_changed && acts == acted)
+        return;
+    claims_changed = false;
+    acted = acts;
+    if (acts)
         emit(fences.request(claims.wanted_fences(fences, status(), now), now));
     std::string why_not = "not current";
     if (released)
@@ -227,9 +235,10 @@
         why_not = "a later life of this host exists";
     else if (!has_lease)
         why_not = "lease expired";
-    emit(claims.refresh(fences, has_lease && current, why_not, now));
+    emit(claims.refresh(fences, acts, why_not, now));
 }
 
+// NOLINTNEXTLINE(performance-unnecessary-value-param): fixed interface.
 membership_agent::membership_agent(host_id self, incarnation_number incarnation, std::uint64_t seed,
                                    time_point started)
     : state_(std::make_unique<state>(self, incarnation, seed, started))
--- a/src/libs/membership/responsibility.cpp
+++ b/src/libs/membership/responsibility.cpp
@@ -105,10 +105,10 @@
             if (it.blocked)
                 continue;
             time_point until = time_point::max();
-            for (const host_id& host : it.before)
-                until = std::min(until, fences.fenced_until(host));
-            for (const host_id& host : it.former)
-                until = std::min(until, fences.fenced_until(host));
+            for (auto host = it.before.begin(); now < until && host != it.before.end(); ++host)
+                until = std::min(until, fences.fenced_until(*host));
+            for (auto host = it.former.begin(); now < until && host != it.former.end(); ++host)
+                until = std::min(until, fences.fenced_until(*host));
             if (now < until)
                 held.emplace(searcher, until);
         }
@@ -164,11 +164,15 @@
                                                 const status_function& status_of)
 {
     std::set<host_id> successors;
+    const auto own = std::find(tables.hosts.begin(), tables.hosts.end(), absent);
+    const auto index = static_cast<std::uint32_t>(own - tables.hosts.begin());
     for (const auto& [searcher, order] : tables.orders) {
+        if (std::find(order.begin(), order.end(), index) == order.end())
+            continue;
         bool passed = false;
         for (const std::uint32_t place : order) {
             const host_id& host = tables.hosts[place];
-            passed = passed || host == absent;
+            passed = passed || place == index;
             if (is_absent(status_of(host)))
                 continue;
             if (passed)
--- a/tests/auto/membership/agentfleet.h
+++ b/tests/auto/membership/agentfleet.h
@@ -138,7 +138,10 @@
             }
             for (auto& [host, it] : members)
                 if (it.agent && now >= it.paused_until &&
-                    (now.time_since_epoch() / 20ms + stable_hash(host.value())) % 5 == 0)
+                    (static_cast<std::uint64_t>(now.time_since_epoch() / 20ms) +
+                     stable_hash(host.value())) %
+                            5 ==
+                        0)
                     feed(host, membership_tick{});
             check();
         }
--- a/tests/auto/membership/tst_membershipagent.cpp
+++ b/tests/auto/membership/tst_membershipagent.cpp
@@ -249,6 +249,6 @@
             cr_assert_leq(it.largest_message, 11);
         }
         // 6 heartbeats and 6 replies in 500 ms.
-        cr_assert_leq(total, 10 * 24 * n + n, "%zu hosts sent %zu", n, total);
+        cr_assert_leq(total, (10UL * 24 + 1) * n, "%zu hosts sent %zu", n, total);
     }
 }
--- a/tests/auto/membership/tst_rendezvous.cpp
+++ b/tests/auto/membership/tst_rendezvous.cpp
@@ -38,7 +38,7 @@
         const host_id self = hosts.hosts[0].id;
         const auto monitors = monitors_of(hosts, self);
         const std::set<host_id> distinct{monitors.begin(), monitors.end()};
-        cr_assert_eq(distinct.size(), std::min(n, 3));
+        cr_assert_eq(distinct.size(), static_cast<std::size_t>(std::min(n, 3)));
         cr_assert_eq(distinct.contains(self), n < 4);
     }
 }
