--- a/tests/standins/store/httplistener.cpp
+++ b/tests/standins/store/httplistener.cpp
@@ -113,8 +113,10 @@
 
 bool send_reply(int connection, const http_reply& reply)
 {
-    std::string text = fmt::format("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n", reply.status,
-                                   reply.status < 400 ? "OK" : "Error", reply.body.size());
+    std::string text =
+        fmt::format("HTTP/1.1 {} {}\r\n", reply.status, reply.status < 400 ? "OK" : "Error");
+    if (!reply.bare)
+        text += fmt::format("Content-Length: {}\r\n", reply.body.size());
     if (!reply.etag.empty())
         text += fmt::format("ETag: {}\r\n", reply.etag);
     text += "Content-Type: application/json\r\n\r\n" + reply.body;
@@ -138,6 +140,8 @@
 http_listener::~http_listener()
 {
     close();
+    std::unique_lock lock{mutex_};
+    ended_.wait(lock, [this] { return connections_.empty(); });
 }
 
 bool http_listener::open()
@@ -212,6 +216,7 @@
     const std::lock_guard lock{mutex_};
     connections_.erase(connection);
     ::close(connection);
+    ended_.notify_all();
 }
 
 } // namespace ebonywick::standin
--- a/tests/standins/store/httplistener.h
+++ b/tests/standins/store/httplistener.h
@@ -2,6 +2,7 @@
 // a reply, which the object store's faults need and cpp-httplib does not offer.
 #pragma once
 
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -29,6 +30,8 @@
     int status = 200;
     std::string etag;
     std::string body;
+    // Without Content-Length, as HTTP allows for a 304.
+    bool bare = false;
 };
 
 /// Empty: close the connection without a reply.
@@ -40,6 +43,7 @@
 public:
     /// `port` 0: the first open() picks a free one.
     http_listener(std::uint16_t port, http_handler handler);
+    /// Waits for the handlers that are running.
     ~http_listener();
     http_listener(const http_listener&) = delete;
     http_listener& operator=(const http_listener&) = delete;
@@ -57,6 +61,7 @@
     std::uint16_t port_;
     const http_handler handler_;
     std::mutex mutex_;
+    std::condition_variable ended_;
     int listening_ = -1;
     std::set<int> connections_;
     std::jthread acceptor_;
