operatorclient: repeat stale reads, and tests against the store stand-in

A stale read-back after a mismatch made the sequence write again and could end as unknown although nothing was written.

--- a/src/libs/operatorclient/changesequence.cpp
+++ b/src/libs/operatorclient/changesequence.cpp
@@ -9,7 +9,7 @@
 namespace ebonywick {
 
 change_sequence::change_sequence(std::string change_id, object_state base)
-    : change_id_(std::move(change_id)), base_(std::move(base))
+    : change_id_(std::move(change_id)), base_(std::move(base)), newest_known_(base_.version)
 {
 }
 
@@ -39,6 +39,7 @@
     }
     // The object moved on: by this change, if an earlier reply was lost, or by
     // another one.
+    newest_known_ = std::max(newest_known_, std::get<put_mismatch>(result).current);
     return read_object{};
 }
 
@@ -47,6 +48,13 @@
     const auto& ids = current.change_ids;
     if (std::find(ids.begin(), ids.end(), change_id_) != ids.end())
         return change_accepted{current.version, ids.front() != change_id_};
+    if (current.version < newest_known_) {
+        if (++repeats_ <= most_repeats)
+            return read_object{repeat_delay};
+        if (may_be_written_)
+            return change_unknown{"the store returned only older versions"};
+        return change_conflict{newest_known_};
+    }
     if (current.version == base_.version) {
         if (++repeats_ > most_repeats)
             return change_unknown{"the store's replies were lost repeatedly"};
--- a/src/libs/operatorclient/changesequence.h
+++ b/src/libs/operatorclient/changesequence.h
@@ -110,6 +110,8 @@
     // True once a write had no reply: it may take effect at any later time as
     // long as the object keeps the version of base_.
     bool may_be_written_ = false;
+    // Newest version that the store has named. Reads below it are stale.
+    object_version newest_known_ = 0;
     int repeats_ = 0;
 };
 
--- a/src/libs/settings/yamlsection.cpp
+++ b/src/libs/settings/yamlsection.cpp
@@ -32,7 +32,7 @@
 
 std::optional<endpoint> ipv4_endpoint(const std::string& text)
 {
-    const auto address = parse_endpoint(text);
+    auto address = parse_endpoint(text);
     in_addr number{};
     if (!address || inet_pton(AF_INET, address->ip.c_str(), &number) != 1 || number.s_addr == 0)
         return std::nullopt;
--- a/tests/auto/operatorclient/tst_changesequence.cpp
+++ b/tests/auto/operatorclient/tst_changesequence.cpp
@@ -63,6 +63,18 @@
                change_action{change_conflict{8}}));
 }
 
+// Failure: a stale read after a mismatch or a lost reply decides the outcome.
+Test(change_sequence, stale_reads_are_repeated)
+{
+    cr_assert(std::holds_alternative<read_object>(replay({mismatch, base})));
+    cr_assert(std::holds_alternative<read_object>(replay({lost, object_state{6, {"older"}}})));
+    std::vector<change_event> events{mismatch};
+    events.insert(events.end(), change_sequence::most_repeats + 1, base);
+    cr_assert((replay(events) == change_action{change_conflict{8}}));
+    events.insert(events.begin(), {lost, base});
+    cr_assert(std::holds_alternative<change_unknown>(replay(events)));
+}
+
 // Failure: "nothing was written" is said of a change that may be written.
 Test(change_sequence, an_outage_is_refused_only_if_nothing_can_be_written)
 {
@@ -88,12 +100,14 @@
     std::mt19937 engine{11};
     for (int round = 0; round < 20000; ++round) {
         object_state stored = base;
+        object_state previous{6, {"older"}};
         bool was_written = false;
         bool in_flight = false;
         change_sequence sequence{"mine", base};
         auto action = sequence.start();
         int steps = 0;
         const auto write = [&](const std::string& id) {
+            previous = stored;
             ++stored.version;
             stored.change_ids.insert(stored.change_ids.begin(), id);
             stored.change_ids.resize(std::min(stored.change_ids.size(), kept_change_ids));
@@ -115,7 +129,9 @@
             }
             const auto fault = engine() % 3;
             if (std::holds_alternative<read_object>(action)) {
-                action = sequence.handle(fault == 0 ? unreadable : change_event{stored});
+                action = sequence.handle(fault == 0   ? unreadable
+                                         : fault == 1 ? change_event{previous}
+                                                      : change_event{stored});
             } else if (fault == 0) {
                 action = sequence.handle(refused);
             } else if (fault == 1) {
@@ -125,7 +141,7 @@
                 write("mine");
                 action = sequence.handle(put_result{put_accepted{stored.version}});
             } else {
-                action = sequence.handle(mismatch);
+                action = sequence.handle(put_result{put_mismatch{stored.version}});
             }
         }
         if (std::holds_alternative<change_accepted>(action))
