--- a/scripts/support/bench_query.py
+++ b/scripts/support/bench_query.py
@@ -1,3 +1,313 @@
 """Benches of the query path: straggler, friday, silent, orders, node."""
 
-BENCHES = {}
+import contextlib
+import json
+import math
+import os
+import re
+import subprocess
+import time
+
+from fleet import Fleet, FleetError, boot_ns, request, seeded
+
+BASE_PORT = 26000
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+@contextlib.contextmanager
+def running_fleet(preset="ordinary", **options):
+    """A fleet whose nodes hold all searchers. Searchers start warm and bear all
+    their slots, because these benches do not measure the ramp."""
+    slots = options.setdefault("slots", 4)
+    options.setdefault("cold_concurrency", slots)
+    options["searcher_arguments"] = ("--warm", *map(str, options.get("searcher_arguments", ())))
+    with Fleet(base_port=BASE_PORT) as fleet:
+        fleet.start(**options)
+        fleet.apply(preset)
+        fleet.wait_ready()
+        searchers = options["shards"] * options["replicas"]
+        wait_for(lambda: sum(len((fleet.status(it) or {}).get("held", ()))
+                             for it in fleet.http_ports) == searchers, "all searchers are held")
+        yield fleet
+
+
+def wait_for(condition, what, limit=20.0):
+    end = time.monotonic() + limit
+    while not condition():
+        if time.monotonic() > end:
+            raise FleetError(f"not within {limit} s: {what}")
+        time.sleep(0.1)
+
+
+def start_load(fleet, *streams, record=None, seed=1):
+    """Starts ebonywick-load; each stream is a dictionary of its values."""
+    command = [str(fleet.build / "src/tools/load/ebonywick-load"), "--seed", str(seed)]
+    for port in fleet.http_ports.values():
+        command += ["--host", f"127.0.0.1:{port}"]
+    for it in streams:
+        values = {"service": "katalog", "name": "main", **it}
+        command += ["--stream", ",".join(f"{key.replace('_', '-')}={value}"
+                                         for key, value in values.items())]
+    if record:
+        command += ["--record", str(fleet.folder / record)]
+    return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+
+def finish_load(process, limit=50.0):
+    """Report of the load tool, by stream, and its processor seconds."""
+    try:
+        text, _ = process.communicate(timeout=limit)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+        raise
+    if process.returncode != 0:
+        raise FleetError(f"ebonywick-load ended with {process.returncode}")
+    report = json.loads(text.splitlines()[-1])
+    return report["streams"], report["processor_seconds"]
+
+
+def run_load(fleet, *streams, **options):
+    return finish_load(start_load(fleet, *streams, **options))[0]
+
+
+def switch(fleet, preset):
+    """Switches the preset and waits until each host has it."""
+    code, text = fleet.preset(preset)
+    if code != 0:
+        raise FleetError(f"preset {preset}: {text}")
+    wait_for(lambda: all((fleet.status(it) or {}).get("preset") == preset
+                         for it in fleet.http_ports), f"preset {preset} is in force")
+
+
+def calls_sent(fleet):
+    """Calls by reason (first, hedge, retry), summed over the nodes."""
+    sums = {"first": 0.0, "hedge": 0.0, "retry": 0.0}
+    for port in fleet.http_ports.values():
+        text = request(port, "GET", "/metrics")[1]
+        for labels, count in re.findall(r"^ebonywick_calls_total\{(.*)\} (\S+)$", text, re.M):
+            sums[re.search(r'reason="(\w+)"', labels)[1]] += float(count)
+    return sums
+
+
+def difference(after, before):
+    return {key: after[key] - before[key] for key in after}
+
+
+def extra_load(calls):
+    return (calls["hedge"] + calls["retry"]) / max(calls["first"], 1)
+
+
+def processor_seconds(process):
+    """User and system time of a process that runs."""
+    with open(f"/proc/{process.pid}/stat", encoding="ascii") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def p99(latencies):
+    ordered = sorted(latencies)
+    return ordered[min(len(ordered) - 1, math.floor(0.99 * len(ordered)))] if ordered else None
+
+
+def lines(path):
+    """Objects of a file of JSON lines; a line that is cut at the end is left out."""
+    found = []
+    with open(path, encoding="utf-8") as file:
+        for line in file:
+            if line.endswith("\n"):
+                found.append(json.loads(line))
+    return found
+
+
+def result(name, baseline, value, reports, **more):
+    """`reports` are the streams whose answers must be right."""
+    reports = list(reports)
+    covered = [it["coverage_min"] for it in reports if it["coverage_min"] is not None]
+    return {"name": name, "baseline": baseline, "value": value,
+            "ratio": round(value / baseline, 3) if baseline else None,
+            "extra_load": more.pop("extra_load", 0.0),
+            "coverage_min": min(covered) if covered else None,
+            "wrong": more.pop("wrong", 0) + sum(it["wrong"] for it in reports),
+            "sent": sum(it["sent"] for it in reports),
+            "answered": sum(it["answered"] for it in reports),
+            "load_average": round(os.getloadavg()[0], 1), **more}
+
+
+def straggler():
+    """One call in 100 takes 20 medians: p99 with hedging against without; target <= 0.35."""
+    presets = {"hedging": {"deadline_ms": 1000},
+               "plain": {"deadline_ms": 1000, "hedge_budget": 0}}
+    parts = {"plain": [], "hedging": []}
+    calls = {"first": 0.0, "hedge": 0.0, "retry": 0.0}
+    with running_fleet("hedging", nodes=1, shards=66, replicas=2, presets=presets,
+                       searcher_arguments=("--delay-us", 5000, "--straggler-share", 0.01,
+                                           "--straggler-factor", 20, "--threads", 4)) as fleet:
+        stream = {"rate": 60, "connections": 64, "deadline_ms": 2000}
+        run_load(fleet, {**stream, "duration_ms": 2000})
+        for turn in range(2):
+            for preset, reports in parts.items():
+                switch(fleet, preset)
+                before = calls_sent(fleet)
+                record = f"load-{preset}-{turn}.jsonl"
+                reports.append(run_load(fleet, {**stream, "duration_ms": 7000}, seed=turn + 1,
+                                        record=record)["main"])
+                reports[-1]["record"] = fleet.folder / record
+                if preset == "hedging":
+                    calls = {key: calls[key] + it for key, it in
+                             difference(calls_sent(fleet), before).items()}
+        tail = {preset: p99(latencies(lines(it["record"]) for it in reports))
+                for preset, reports in parts.items()}
+    return result("straggler", tail["plain"], tail["hedging"], parts["plain"] + parts["hedging"],
+                  extra_load=round(extra_load(calls), 4), calls=calls,
+                  p50={preset: reports[0]["latency_ms"]["p50"]
+                       for preset, reports in parts.items()})
+
+
+def latencies(records):
+    """Milliseconds of the answered requests of several records."""
+    return [(it["end"] - it["intended"]) / 1e6 for record in records for it in record
+            if it["outcome"] == "answered"]
+
+
+def friday():
+    """Batch at 3 x capacity beside look-ups: look-up p99 against alone; target <= 1.5."""
+    # Calls take 20 times as long as at the target, so that the machine's noise
+    # stays small against them; the wait target grows by the same factor.
+    shards, replicas, slots, call_ms = 10, 3, 4, 40
+    capacity = replicas * slots / (call_ms / 1000)
+    presets = {"ordinary": {"deadline_ms": 1000, "batch_queue": 40, "batch_limit": 64,
+                            "target_queue_wait_ms": 20}}
+    look_ups = {"name": "lookup", "class": "interactive", "rate": capacity / 10,
+                "connections": 64, "deadline_ms": 2000}
+    batch = {"name": "batch", "class": "batch", "caller": "printer+archive",
+             "rate": 3 * capacity, "connections": 250, "deadline_ms": 2000}
+    alone, both, offered = [], [], []
+    with running_fleet(nodes=3, shards=shards, replicas=replicas, slots=slots, presets=presets,
+                       searcher_arguments=("--delay-us", call_ms * 1000)) as fleet:
+        run_load(fleet, {**look_ups, "duration_ms": 2000})
+        before = calls_sent(fleet)
+        for turn in range(2):
+            alone.append(run_load(fleet, {**look_ups, "duration_ms": 6000}, seed=turn + 1)["lookup"])
+            # The warm-up lets the adaptive limit settle.
+            timing = {"warmup_ms": 4000, "duration_ms": 8000}
+            mixed = run_load(fleet, {**look_ups, **timing}, {**batch, **timing}, seed=turn + 1)
+            both.append(mixed["lookup"])
+            offered.append(mixed["batch"])
+        extra = extra_load(difference(calls_sent(fleet), before))
+    done = sum(it["answered"] for it in offered)
+    could = capacity * 8 * len(offered) - sum(it["answered"] for it in both)
+    return result("friday", max(it["latency_ms"]["p99"] for it in alone),
+                  max(it["latency_ms"]["p99"] for it in both), alone + both + offered,
+                  extra_load=round(extra, 4), batch_offered=sum(it["sent"] for it in offered),
+                  batch_done=done, batch_possible=round(could), batch_share=round(done / could, 3),
+                  batch_unknown=sum(it["unknown"] for it in offered),
+                  batch_kinds=offered[-1]["kinds"], batch_p99=offered[-1]["latency_ms"]["p99"],
+                  lookup_p50=[alone[-1]["latency_ms"]["p50"], both[-1]["latency_ms"]["p50"]],
+                  lookup_failed=sum(it["sent"] - it["answered"] for it in alone + both))
+
+
+def silent():
+    """Half of the open connections go silent three times: p99 against before; none lost."""
+    stream = {"rate": 100, "connections": 64, "deadline_ms": 1000, "warmup_ms": 2000,
+              "duration_ms": 18000}
+    with running_fleet(nodes=3, shards=10, replicas=3,
+                       presets={"ordinary": {"deadline_ms": 500}}) as fleet:
+        before = calls_sent(fleet)
+        load = start_load(fleet, stream, record="load.jsonl")
+        time.sleep(8)
+        faults = []
+        for it in range(3):
+            faults.append(boot_ns())
+            fleet.searcher_admin(silent_half=it + 1)
+            time.sleep(3)
+        report = finish_load(load)[0]["main"]
+        calls = difference(calls_sent(fleet), before)
+        records = lines(fleet.folder / "load.jsonl")
+    undisturbed = latencies([[it for it in records if it["intended"] < faults[0] - 10**9]])
+    disturbed = latencies([[it for it in records if it["intended"] >= faults[0]]])
+    return result("silent", p99(undisturbed), p99(disturbed), [report],
+                  extra_load=round(extra_load(calls), 4), calls=calls,
+                  lost=report["sent"] - report["answered"], kinds=report["kinds"],
+                  slowest=max(disturbed))
+
+
+def orders():
+    """Nodes killed and paused, callers repeat, store replies lost: runs per key <= 1."""
+    random = seeded(7)
+    with running_fleet(nodes=5, shards=3, replicas=3,
+                       presets={"ordinary": {"deadline_ms": 500}}) as fleet:
+        stream = {"orders": 1, "rate": 60, "connections": 64, "deadline_ms": 800, "repeats": 4,
+                  "duration_ms": 24000}
+        load = start_load(fleet, stream, record="load.jsonl")
+        end = time.monotonic() + 22
+        faults = {"kill": 0, "pause": 0, "store": 0}
+        while time.monotonic() < end:
+            kind = min(faults, key=faults.get)
+            faults[kind] += 1
+            if kind == "kill":
+                fleet.restart(random.randint(2, 5))
+                time.sleep(2.5)
+            elif kind == "pause":
+                node = random.randint(1, 5)
+                fleet.pause(node)
+                time.sleep(random.uniform(0.3, 3))
+                fleet.resume(node)
+            else:
+                fleet.store_admin(lose_replies=0.3, lose_prefix="ebonywick/orders/")
+                time.sleep(1.5)
+                fleet.store_admin(lose_replies=0)
+        report = finish_load(load)[0]["main"]
+        # Calls that were on their way when the load ended.
+        time.sleep(1.5)
+        runs = {}
+        for it in fleet.searcher_stats():
+            for key, count in it["orders"].items():
+                runs[key] = runs.get(key, 0) + count
+        started = [it["call"] for it in lines(fleet.services[0]["_record"])
+                   if it["event"] == "order"]
+        records = lines(fleet.folder / "load.jsonl")
+    ran = {it.split("-")[0] for it in started}
+    refused = [it for it in records if it["outcome"] == "not_run"]
+    untrue = [it for it in refused if it["request_id"] in ran]
+    unfounded = [it for it in records if it["outcome"] == "answered" and it["key"] not in runs]
+    most = max(runs.values())
+    return result("orders", 1, most, [report],
+                  wrong=sum(it > 1 for it in runs.values()) + len(untrue) + len(unfounded),
+                  keys_run=len(runs), requests=len(records), repeated=report["repeats"],
+                  not_run=len(refused), not_run_untrue=len(untrue),
+                  answered_without_run=len(unfounded), unknown=report["unknown"],
+                  kinds=report["kinds"], faults=faults)
+
+
+def node():
+    """239 queries a second to 66 searchers of 1.7 ms: cores of the node, target <= 2."""
+    reports, cores = {}, {}
+    for level in ("info", "warning"):
+        with running_fleet(nodes=1, shards=66, replicas=1,
+                           presets={"ordinary": {"deadline_ms": 500}},
+                           node_settings=f"log_level: {level}",
+                           searcher_arguments=("--delay-us", 1700, "--threads", 4)) as fleet:
+            stream = {"rate": 239, "connections": 100, "deadline_ms": 1000}
+            run_load(fleet, {**stream, "duration_ms": 1500})
+            processes = {it: fleet.processes[it] for it in ("entry-1", "searchers-katalog")}
+            calls = calls_sent(fleet)
+            used = {name: processor_seconds(it) for name, it in processes.items()}
+            begin = time.monotonic()
+            load = start_load(fleet, {**stream, "duration_ms": 10000})
+            streams, load_seconds = finish_load(load)
+            elapsed = time.monotonic() - begin
+            cores[level] = {name: round((processor_seconds(it) - used[name]) / elapsed, 3)
+                            for name, it in processes.items()}
+            cores[level]["load"] = round(load_seconds / elapsed, 3)
+            reports[level] = streams["main"]
+            if level == "info":
+                extra = extra_load(difference(calls_sent(fleet), calls))
+    return result("node", 2.0, cores["info"]["entry-1"], reports.values(),
+                  extra_load=round(extra, 4), p99=reports["info"]["latency_ms"]["p99"],
+                  p50=reports["info"]["latency_ms"]["p50"],
+                  queries_per_second=round(reports["info"]["answered"] / 10, 1),
+                  kinds=reports["info"]["kinds"], cores=cores)
+
+
+BENCHES = {it.__name__: it for it in (straggler, friday, silent, orders, node)}
