--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -132,7 +132,9 @@
 logger::logger(log_level least, std::size_t queue_lines)
     : least_(least), state_(std::make_unique<state>(queue_lines))
 {
-    state_->writer = std::jthread{[it = state_.get()](std::stop_token stop) { it->run(stop); }};
+    state_->writer = std::jthread{[it = state_.get()](std::stop_token stop) {
+        it->run(stop);
+    }};
 }
 
 logger::~logger()
--- a/src/libs/metrics/nodemetrics.cpp
+++ b/src/libs/metrics/nodemetrics.cpp
@@ -22,8 +22,7 @@
 
 const Histogram::BucketBoundaries& wait_buckets()
 {
-    static const Histogram::BucketBoundaries buckets{0.0001, 0.0005, 0.001, 0.005,
-                                                     0.02,   0.1,    0.5};
+    static const Histogram::BucketBoundaries buckets{0.0001, 0.0005, 0.001, 0.005, 0.02, 0.1, 0.5};
     return buckets;
 }
 
@@ -69,12 +68,11 @@
                                 .Help("Time that calls waited in the gates' queues")
                                 .Register(registry)
                                 .Add({}, wait_buckets());
-    prometheus::Counter& unmatched =
-        prometheus::BuildCounter()
-            .Name("ebonywick_unmatched_replies_total")
-            .Help("Replies that no outstanding call waited for")
-            .Register(registry)
-            .Add({});
+    prometheus::Counter& unmatched = prometheus::BuildCounter()
+                                         .Name("ebonywick_unmatched_replies_total")
+                                         .Help("Replies that no outstanding call waited for")
+                                         .Register(registry)
+                                         .Add({});
     prometheus::Counter& expired = prometheus::BuildCounter()
                                        .Name("ebonywick_expired_messages_total")
                                        .Help("Calls between hosts that arrived after their time")
@@ -134,7 +132,9 @@
 
 std::string node_metrics::exposition(const gauges& values)
 {
-    const auto number = [](std::uint64_t n) { return static_cast<double>(n); };
+    const auto number = [](std::uint64_t n) {
+        return static_cast<double>(n);
+    };
     state& s = *state_;
     s.set("ebonywick_held_searchers", "Searchers that this host holds",
           number(values.held_searchers));
--- a/src/libs/metrics/nodemetrics.h
+++ b/src/libs/metrics/nodemetrics.h
@@ -22,8 +22,8 @@
     node_metrics& operator=(const node_metrics&) = delete;
 
     /// A caller's request ended; `outcome` is answered, not_run or unknown.
-    void request_ended(std::string_view service, std::string_view traffic,
-                       std::string_view outcome, duration latency);
+    void request_ended(std::string_view service, std::string_view traffic, std::string_view outcome,
+                       duration latency);
     /// Share of the shards that an answer covered, 0 to 1.
     void answer_covered(std::string_view service, double share);
     void request_failed(error_kind kind);
--- a/src/libs/node/callrouter.cpp
+++ b/src/libs/node/callrouter.cpp
@@ -66,11 +66,11 @@
         handlers.on_cancel(*cancel);
 }
 
-void call_router::state::handle(const host_id& from, incarnation_number life,
-                                call_request& request, time_point received_at)
+void call_router::state::handle(const host_id& from, incarnation_number life, call_request& request,
+                                time_point received_at)
 {
-    const duration age = ages.of(from, life, request.sent_at, received_at) +
-                         (boot_clock::now() - received_at);
+    const duration age =
+        ages.of(from, life, request.sent_at, received_at) + (boot_clock::now() - received_at);
     if (age >= request.remaining) {
         // The entry host has given the call up; running it would waste a slot.
         metrics.message_expired();
--- a/src/libs/node/controlplane.cpp
+++ b/src/libs/node/controlplane.cpp
@@ -305,10 +305,9 @@
     const auto& witnesses = current.hosts.witnesses;
     sync_needs out;
     out.watch = std::find(witnesses.begin(), witnesses.end(), settings.self.id) != witnesses.end();
-    out.version =
-        kind == object_kind::config ? current.config_version : current.roster_version;
-    out.read = std::exchange(reads_wanted[static_cast<std::size_t>(kind)], false) ||
-               out.version == 0;
+    out.version = kind == object_kind::config ? current.config_version : current.roster_version;
+    out.read =
+        std::exchange(reads_wanted[static_cast<std::size_t>(kind)], false) || out.version == 0;
     return out;
 }
 
@@ -329,15 +328,25 @@
     s.transport.emplace(s.settings.self.control,
                         [&s](std::string_view bytes) { s.receive(bytes); });
     sync_handlers sync;
-    sync.needs = [&s](object_kind kind) { return s.needs(kind); };
+    sync.needs = [&s](object_kind kind) {
+        return s.needs(kind);
+    };
     sync.learn = [this](object_kind kind, const stored_object& object) {
         learn(kind, object.version, object.content);
     };
-    sync.view = [this] { return view(); };
-    sync.is_current = [this] { return is_current(boot_clock::now()); };
-    sync.status_of = [this](const host_id& host) { return status_of(host); };
+    sync.view = [this] {
+        return view();
+    };
+    sync.is_current = [this] {
+        return is_current(boot_clock::now());
+    };
+    sync.status_of = [this](const host_id& host) {
+        return status_of(host);
+    };
     s.sync.emplace(s.settings, s.incarnation, s.store, s.log, std::move(sync));
-    s.ticker = std::jthread{[&s](const std::stop_token& stop) { s.run_ticks(stop); }};
+    s.ticker = std::jthread{[&s](const std::stop_token& stop) {
+        s.run_ticks(stop);
+    }};
 }
 
 void control_plane::stop()
--- a/src/libs/node/gatesupervisor.cpp
+++ b/src/libs/node/gatesupervisor.cpp
@@ -40,8 +40,7 @@
 
 struct gate_supervisor::gate
 {
-    explicit gate(const searcher_declaration& declared)
-        : declaration(declared), decision(declared)
+    explicit gate(const searcher_declaration& declared) : declaration(declared), decision(declared)
     {
     }
 
@@ -105,8 +104,7 @@
     std::jthread reaper;
 };
 
-gate_supervisor::state::gate_ptr
-gate_supervisor::state::find(const searcher_id& searcher) const
+gate_supervisor::state::gate_ptr gate_supervisor::state::find(const searcher_id& searcher) const
 {
     const std::shared_lock lock{mutex};
     const auto it = gates.find(searcher);
@@ -156,8 +154,7 @@
     metrics.call_waited(action.waited);
     const call_request& request = call->second.request;
     link->second.start(link_call{request.id, request.shard, request.wanted, request.idempotent,
-                                  action.timeout, request.body,
-                                  request.idempotency_key});
+                                 action.timeout, request.body, request.idempotency_key});
 }
 
 void gate_supervisor::state::execute(gate& g, const reject_call& action,
@@ -197,8 +194,7 @@
         return handlers.may_act(now, now + timeout);
     };
     execute(g, close_link{action.link});
-    g.links.emplace(action.link,
-                    links.open(action.link, g.declaration.address, std::move(link)));
+    g.links.emplace(action.link, links.open(action.link, g.declaration.address, std::move(link)));
 }
 
 void gate_supervisor::state::execute(gate& g, const close_link& action)
--- a/src/libs/node/gatesupervisor.h
+++ b/src/libs/node/gatesupervisor.h
@@ -56,8 +56,7 @@
 class gate_supervisor
 {
 public:
-    gate_supervisor(node_metrics& metrics, logger& log, link_factory links,
-                    gate_handlers handlers);
+    gate_supervisor(node_metrics& metrics, logger& log, link_factory links, gate_handlers handlers);
     ~gate_supervisor();
     gate_supervisor(const gate_supervisor&) = delete;
     gate_supervisor& operator=(const gate_supervisor&) = delete;
--- a/src/libs/node/httpfrontend.cpp
+++ b/src/libs/node/httpfrontend.cpp
@@ -171,7 +171,9 @@
         parts.metrics.request_failed(refused->reason.kind);
         return respond(response, write_refusal(id, *refused));
     }
-    const auto header = [&](const char* name) { return request.get_header_value(name); };
+    const auto header = [&](const char* name) {
+        return request.get_header_value(name);
+    };
     const auto read = read_caller_request(id, request.matches[1], header, request.body,
                                           parts.control.view()->config, now);
     if (const auto* problem = std::get_if<error>(&read)) {
@@ -184,8 +186,7 @@
     respond(response, write_outcome(id, outcome));
 }
 
-void http_frontend::state::serve_order(const httplib::Request& request,
-                                       httplib::Response& response)
+void http_frontend::state::serve_order(const httplib::Request& request, httplib::Response& response)
 {
     const request_guard guard{active};
     const time_point now = boot_clock::now();
@@ -194,7 +195,9 @@
         parts.metrics.request_failed(refused->reason.kind);
         return respond(response, write_refusal(id, *refused));
     }
-    const auto header = [&](const char* name) { return request.get_header_value(name); };
+    const auto header = [&](const char* name) {
+        return request.get_header_value(name);
+    };
     const auto read = read_caller_request(id, request.matches[1], header, request.body,
                                           parts.control.view()->config, now);
     if (const auto* problem = std::get_if<error>(&read)) {
@@ -230,7 +233,9 @@
     const fleet_view_ptr view = parts.control.view();
     const caller_id caller{request.get_header_value("X-Caller")};
     json hosts = json::array();
-    const auto status = [this](const host_id& host) { return parts.control.status_of(host); };
+    const auto status = [this](const host_id& host) {
+        return parts.control.status_of(host);
+    };
     for (const entry_host& it : entry_hosts(view->hosts, view->config, status, caller)) {
         hosts.push_back({{"id", it.id.value()},
                          {"address", to_string(it.address)},
@@ -281,8 +286,8 @@
     if ((kind != "config" && kind != "roster") || n == 0 ||
         !parts.control.learn(kind == "config" ? object_kind::config : object_kind::roster, n,
                              request.body)) {
-        const error problem = make_error(error_kind::invalid_declaration,
-                                         "the pushed object is not valid");
+        const error problem =
+            make_error(error_kind::invalid_declaration, "the pushed object is not valid");
         return respond(response, write_refusal(new_request_id(), not_run{problem}));
     }
     respond(response, http_reply{200, R"({"accepted":true})"});
@@ -325,8 +330,8 @@
     });
     server.Get("/readyz", [this](const Request&, Response& out) {
         const bool ready = !refusal(boot_clock::now());
-        respond(out, http_reply{ready ? 200 : 503, ready ? R"({"ready":true})"
-                                                          : R"({"ready":false})"});
+        respond(out,
+                http_reply{ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})"});
     });
     server.Get("/metrics", [this](const Request&, Response& out) {
         out.set_content(parts.metrics.exposition(parts.gauges()), "text/plain; version=0.0.4");
@@ -340,8 +345,7 @@
                 : make_error(error_kind::invalid_request,
                              fmt::format("the request was refused with status {}", out.status));
         const int status = out.status;
-        out.set_content(write_refusal(new_request_id(), not_run{problem}).body,
-                        "application/json");
+        out.set_content(write_refusal(new_request_id(), not_run{problem}).body, "application/json");
         out.status = status;
     });
 }
@@ -377,9 +381,11 @@
     state& s = *state_;
     const endpoint& at = s.settings.self.http;
     if (!s.server.bind_to_port(at.ip.c_str(), at.port))
-        throw std::runtime_error(fmt::format("cannot listen on {}; use a free address in `http`",
-                                             to_string(at)));
-    s.listener = std::thread{[&s] { s.server.listen_after_bind(); }};
+        throw std::runtime_error(
+            fmt::format("cannot listen on {}; use a free address in `http`", to_string(at)));
+    s.listener = std::thread{[&s] {
+        s.server.listen_after_bind();
+    }};
 }
 
 void http_frontend::stop()
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -41,10 +41,12 @@
         : settings(node), log(logging), incarnation(new_incarnation()),
           store(node.store, store_timeout),
           control(node, incarnation, store, logging, control_events()),
-          router(node.self, incarnation, node.worker_threads, [this] { return control.view(); },
-                 metrics, logging, router_events()),
+          router(
+              node.self, incarnation, node.worker_threads, [this] { return control.view(); },
+              metrics, logging, router_events()),
           queries(calls(), timers, metrics, logging, incarnation),
-          gates(metrics, logging, make_http_links(), gate_events()), orders(store, queries, logging),
+          gates(metrics, logging, make_http_links(), gate_events()),
+          orders(store, queries, logging),
           frontend(node, frontend_parts{control, queries, orders, metrics, logging,
                                         [this] { return gauges(); }, incarnation})
     {
@@ -69,8 +71,12 @@
         out.on_request = [this](const call_request& request, const call_origin& origin) {
             gates.offer(request, origin);
         };
-        out.on_cancel = [this](const call_cancel& cancel) { gates.withdraw(cancel); };
-        out.on_reply = [this](const call_reply& reply) { queries.on_reply(reply); };
+        out.on_cancel = [this](const call_cancel& cancel) {
+            gates.withdraw(cancel);
+        };
+        out.on_reply = [this](const call_reply& reply) {
+            queries.on_reply(reply);
+        };
         return out;
     }
 
@@ -80,7 +86,9 @@
         out.send = [this](call_request request, time_point deadline) {
             return router.send(std::move(request), deadline);
         };
-        out.cancel = [this](const call_cancel& cancel) { router.cancel(cancel); };
+        out.cancel = [this](const call_cancel& cancel) {
+            router.cancel(cancel);
+        };
         return out;
     }
 
@@ -170,7 +178,9 @@
     s.router.start();
     s.control.start();
     s.frontend.start();
-    s.ticker = std::jthread{[&s](const std::stop_token& stop) { s.run_ticks(stop); }};
+    s.ticker = std::jthread{[&s](const std::stop_token& stop) {
+        s.run_ticks(stop);
+    }};
     s.log.write(log_level::info, "node_started",
                 {{"host", s.settings.self.id.value()},
                  {"failure_domain", s.settings.self.domain.value()},
@@ -192,8 +202,8 @@
     state& s = *state_;
     const std::size_t requests = s.frontend.active() + s.orders.unrecorded();
     const gate_totals totals = s.gates.totals();
-    const drain_phase phase = s.drain.advance(boot_clock::now(), requests,
-                                              totals.in_flight + totals.queued);
+    const drain_phase phase =
+        s.drain.advance(boot_clock::now(), requests, totals.in_flight + totals.queued);
     if (phase == drain_phase::handing_over)
         s.frontend.refuse_requests();
     if (phase != drain_phase::finished)
--- a/src/libs/node/queryservice.cpp
+++ b/src/libs/node/queryservice.cpp
@@ -4,8 +4,8 @@
 #include "node/queryservice.h"
 
 #include "admission/admissioncontroller.h"
-#include "base/lockshardedmap.h"
 #include "base/hashing.h"
+#include "base/lockshardedmap.h"
 #include "query/querycoordinator.h"
 #include "query/replicaselector.h"
 #include "query/retrybudget.h"
@@ -148,8 +148,7 @@
                                  const std::vector<admission_action>& actions, outbox& out)
 {
     for (const admission_action& action : actions) {
-        const request_id id =
-            std::visit([](const auto& it) { return it.id; }, action);
+        const request_id id = std::visit([](const auto& it) { return it.id; }, action);
         const auto it = runtime->waiting.find(id);
         if (it == runtime->waiting.end())
             continue;
@@ -360,9 +359,9 @@
 {
     const state::runtime_ptr runtime = state_->find(request.service);
     if (!runtime) {
-        return not_run{make_error(error_kind::unknown_service,
-                                  fmt::format("service {} is not declared",
-                                              request.service.value()))};
+        return not_run{
+            make_error(error_kind::unknown_service,
+                       fmt::format("service {} is not declared", request.service.value()))};
     }
     auto query = std::make_shared<active_query>();
     query->request = request;
@@ -372,12 +371,12 @@
     {
         const std::lock_guard lock{runtime->mutex};
         runtime->waiting.emplace(request.id, query);
-        state_->apply(runtime,
-                      runtime->admission.handle(request_arrived{request.id, request.service,
-                                                                request.caller, request.traffic,
-                                                                request.deadline},
-                                                boot_clock::now()),
-                      out);
+        state_->apply(
+            runtime,
+            runtime->admission.handle(request_arrived{request.id, request.service, request.caller,
+                                                      request.traffic, request.deadline},
+                                      boot_clock::now()),
+            out);
     }
     state_->flush(out);
     query->done.acquire();
@@ -400,8 +399,7 @@
     {
         const std::lock_guard lock{runtime->mutex};
         const shard_map& map = runtime->declaration->shard_maps.back();
-        const auto index = static_cast<std::uint32_t>(stable_hash(key) %
-                                                      map.shards.size());
+        const auto index = static_cast<std::uint32_t>(stable_hash(key) % map.shards.size());
         const shard_name& shard = map.shards[index].name;
         const auto choice = runtime->selector.choose(shard, snapshot{}, {});
         if (!choice)
--- a/src/libs/node/requestreader.cpp
+++ b/src/libs/node/requestreader.cpp
@@ -58,8 +58,7 @@
                {"message", reason.message},
                {"remedy", reason.remedy}}}};
     if (retry_after > duration::zero())
-        out["retry_after_ms"] =
-            std::chrono::ceil<std::chrono::milliseconds>(retry_after).count();
+        out["retry_after_ms"] = std::chrono::ceil<std::chrono::milliseconds>(retry_after).count();
     return http_reply{status_of(reason.kind),
                       out.dump(-1, ' ', false, json::error_handler_t::replace)};
 }
@@ -154,8 +153,7 @@
         return write_answer(id, *answer);
     if (const auto* refusal = std::get_if<not_run>(&outcome))
         return write_refusal(id, *refusal);
-    return write_error(id, "unknown", std::get<unknown_outcome>(outcome).reason,
-                       duration::zero());
+    return write_error(id, "unknown", std::get<unknown_outcome>(outcome).reason, duration::zero());
 }
 
 http_reply write_outcome(const request_id& id, const order_outcome& outcome)
--- a/src/libs/node/storesync.cpp
+++ b/src/libs/node/storesync.cpp
@@ -116,8 +116,8 @@
             std::this_thread::sleep_for(idle_pause);
             continue;
         }
-        const duration wait = needs.watch && needs.version > 0 ? duration{watch_wait}
-                                                               : duration::zero();
+        const duration wait =
+            needs.watch && needs.version > 0 ? duration{watch_wait} : duration::zero();
         if (!read_object(kind, needs.version, wait)) {
             sleep_unless(stop, pauses.next());
             continue;
@@ -168,12 +168,15 @@
     : state_(std::make_unique<state>(settings, incarnation, store, log, std::move(handlers)))
 {
     state* s = state_.get();
-    s->config_thread = std::jthread{
-        [s](const std::stop_token& stop) { s->run_object(object_kind::config, stop); }};
-    s->roster_thread = std::jthread{
-        [s](const std::stop_token& stop) { s->run_object(object_kind::roster, stop); }};
-    s->upkeep_thread =
-        std::jthread{[s](const std::stop_token& stop) { s->run_upkeep(stop); }};
+    s->config_thread = std::jthread{[s](const std::stop_token& stop) {
+        s->run_object(object_kind::config, stop);
+    }};
+    s->roster_thread = std::jthread{[s](const std::stop_token& stop) {
+        s->run_object(object_kind::roster, stop);
+    }};
+    s->upkeep_thread = std::jthread{[s](const std::stop_token& stop) {
+        s->run_upkeep(stop);
+    }};
 }
 
 store_sync::~store_sync() = default;
--- a/src/libs/transport/peertransport.cpp
+++ b/src/libs/transport/peertransport.cpp
@@ -152,8 +152,8 @@
 void peer_transport::state::run(const std::stop_token& stop)
 {
     while (!stop.stop_requested()) {
-        std::array<zmq::pollitem_t, 2> items{{{incoming.handle(), 0, ZMQ_POLLIN, 0},
-                                              {wake_in.handle(), 0, ZMQ_POLLIN, 0}}};
+        std::array<zmq::pollitem_t, 2> items{
+            {{incoming.handle(), 0, ZMQ_POLLIN, 0}, {wake_in.handle(), 0, ZMQ_POLLIN, 0}}};
         try {
             zmq::poll(items.data(), items.size(), std::chrono::milliseconds{idle_poll_ms});
         } catch (const zmq::error_t& ex) {
@@ -170,7 +170,9 @@
 peer_transport::peer_transport(endpoint listen, message_handler on_message)
     : state_(std::make_unique<state>(std::move(listen), std::move(on_message)))
 {
-    state_->thread = std::jthread{[it = state_.get()](std::stop_token stop) { it->run(stop); }};
+    state_->thread = std::jthread{[it = state_.get()](std::stop_token stop) {
+        it->run(stop);
+    }};
 }
 
 peer_transport::~peer_transport()
--- a/src/libs/wire/wireconversion.cpp
+++ b/src/libs/wire/wireconversion.cpp
@@ -120,8 +120,8 @@
     auto updates = read_updates(in.updates());
     if (!updates)
         return std::nullopt;
-    return heartbeat{from,          in.incarnation(),  in.sequence(),      in.config(),
-                     in.roster(),   in.wants_lease(),  std::move(*updates)};
+    return heartbeat{from,        in.incarnation(), in.sequence(),      in.config(),
+                     in.roster(), in.wants_lease(), std::move(*updates)};
 }
 
 std::optional<control_message> read_reply(const host_id& from, const wire::HeartbeatReply& in)
@@ -129,8 +129,9 @@
     auto updates = read_updates(in.updates());
     if (!updates)
         return std::nullopt;
-    heartbeat_reply out{from,        in.incarnation(),    in.sequence(), in.config(),
-                        in.roster(), in.lease_granted(), {},            std::move(*updates)};
+    heartbeat_reply out{from,        in.incarnation(),   in.sequence(),
+                        in.config(), in.roster(),        in.lease_granted(),
+                        {},          std::move(*updates)};
     for (const wire::CurrencyToken& it : in.tokens()) {
         out.tokens.push_back(currency_token{host_id{it.witness()}, it.incarnation(), it.config(),
                                             it.roster(), from_us(it.age_us())});
@@ -166,8 +167,7 @@
 template <class Message>
 call_id read_call_id(const Message& in)
 {
-    return call_id{request_id{in.request_high(), in.request_low()}, in.shard_index(),
-                   in.attempt()};
+    return call_id{request_id{in.request_high(), in.request_low()}, in.shard_index(), in.attempt()};
 }
 
 void write(const call_request& from, wire::DispatchMessage& to)
@@ -245,12 +245,10 @@
         out.failure = static_cast<error_kind>(in.status() - 1);
     out.from = snapshot{in.version(), in.epoch()};
     out.shard = shard_name{in.shard()};
-    out.report = searcher_report{out.searcher,
-                                 {in.held_versions().begin(), in.held_versions().end()},
-                                 in.queue_length(),
-                                 in.cold(),
-                                 in.leaving(),
-                                 in.shedding()};
+    out.report =
+        searcher_report{out.searcher,      {in.held_versions().begin(), in.held_versions().end()},
+                        in.queue_length(), in.cold(),
+                        in.leaving(),      in.shedding()};
     out.waited = from_us(in.waited_us());
     out.body = in.body();
     return out;
@@ -319,8 +317,8 @@
         message = read_call_reply(in.call_reply());
         break;
     case wire::DispatchMessage::kCallCancel:
-        message = call_cancel{read_call_id(in.call_cancel()),
-                              searcher_id{in.call_cancel().searcher()}};
+        message =
+            call_cancel{read_call_id(in.call_cancel()), searcher_id{in.call_cancel().searcher()}};
         break;
     case wire::DispatchMessage::BODY_NOT_SET:
         break;
--- a/tests/auto/logging/tst_logger.cpp
+++ b/tests/auto/logging/tst_logger.cpp
@@ -33,7 +33,8 @@
         close(saved_);
         std::string out;
         char buf[4096];
-        for (ssize_t n = read(ends_[0], buf, sizeof buf); n > 0; n = read(ends_[0], buf, sizeof buf))
+        for (ssize_t n = read(ends_[0], buf, sizeof buf); n > 0;
+             n = read(ends_[0], buf, sizeof buf))
             out.append(buf, static_cast<std::size_t>(n));
         close(ends_[0]);
         return out;
--- a/tests/auto/transport/tst_peertransport.cpp
+++ b/tests/auto/transport/tst_peertransport.cpp
@@ -46,9 +46,11 @@
 Test(peer_transport, messages_arrive_whole_and_in_order)
 {
     inbox received;
-    peer_transport receiver{endpoint{"127.0.0.1", 25101},
-                            [&](std::string_view bytes) { received.add(bytes); }};
-    peer_transport sender{endpoint{"127.0.0.1", 25102}, [](std::string_view) {}};
+    peer_transport receiver{endpoint{"127.0.0.1", 25101}, [&](std::string_view bytes) {
+                                received.add(bytes);
+                            }};
+    peer_transport sender{endpoint{"127.0.0.1", 25102}, [](std::string_view) {
+                          }};
     for (int it = 0; it < 500; ++it)
         sender.send(endpoint{"127.0.0.1", 25101}, std::string(std::size_t(it) * 7, 'x'));
     const std::vector<std::string> messages = received.wait_for(500);
@@ -60,10 +62,12 @@
 // Failure: a second process on the same address takes part of the messages.
 Test(peer_transport, second_listener_on_an_address_is_refused)
 {
-    peer_transport first{endpoint{"127.0.0.1", 25103}, [](std::string_view) {}};
+    peer_transport first{endpoint{"127.0.0.1", 25103}, [](std::string_view) {
+                         }};
     bool refused = false;
     try {
-        peer_transport second{endpoint{"127.0.0.1", 25103}, [](std::string_view) {}};
+        peer_transport second{endpoint{"127.0.0.1", 25103}, [](std::string_view) {
+                              }};
     } catch (const std::system_error&) {
         refused = true;
     }
--- a/tests/auto/wire/tst_wireconversion.cpp
+++ b/tests/auto/wire/tst_wireconversion.cpp
@@ -30,9 +30,18 @@
 {
     const call_id id{request_id{1, 2}, 3, 4};
     const searcher_id searcher{"s1"};
-    call_request request{id,      service_name{"katalog"}, shard_name{"s0"}, searcher,
-                         caller_id{"c"}, snapshot{5, 6}, request_class::batch, false,
-                         250ms,   time_point{12345ns}, "{\"query\":\"x\"}", "key-1"};
+    call_request request{id,
+                         service_name{"katalog"},
+                         shard_name{"s0"},
+                         searcher,
+                         caller_id{"c"},
+                         snapshot{5, 6},
+                         request_class::batch,
+                         false,
+                         250ms,
+                         time_point{12345ns},
+                         "{\"query\":\"x\"}",
+                         "key-1"};
     call_reply reply;
     reply.id = id;
     reply.searcher = searcher;
