membership: bound fence requests while many hosts are absent

Change: at most 16 fences are wanted, nearest claims first, asked for every 500 ms; monitors still report absence at once. Conclusion: messages of a host stay bounded in the start as well.

--- a/src/libs/membership/fencekeeper.cpp
+++ b/src/libs/membership/fencekeeper.cpp
@@ -12,8 +12,9 @@
 using namespace std::chrono_literals;
 
 // A fence lasts 2,000 ms, so that renewal survives the loss of two requests.
-constexpr duration renewal_interval = 500ms;
-constexpr duration retry_interval = 250ms;
+// A refused fence is asked for again at the same pace; the monitors report when a
+// host turns absent.
+constexpr duration request_interval = 500ms;
 
 } // namespace
 
@@ -48,8 +49,7 @@
         const auto it = fences_.find(subject);
         if (it == fences_.end() || now < it->second.next_request)
             continue;
-        const bool held = now < it->second.grants.until();
-        it->second.next_request = now + (held ? renewal_interval : retry_interval);
+        it->second.next_request = now + request_interval;
         for (const host_id& monitor : it->second.grants.monitors())
             actions.push_back(ask(subject, monitor, now));
     }
--- a/src/libs/membership/responsibility.cpp
+++ b/src/libs/membership/responsibility.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// Bounds the fence requests of one host when many hosts are absent, as in the
+// start of a fleet. Claims with few earlier candidates come first.
+constexpr std::size_t max_wanted_fences = 16;
+
 bool is_absent(host_status status)
 {
     // A joining host has no lease yet.
@@ -72,17 +76,21 @@
     const auto absent = [&](const host_id& host) {
         return is_absent(status_of(host)) || now < fences.fenced_until(host);
     };
-    for (const auto& [searcher, it] : claims_) {
-        if (it.blocked || !std::all_of(it.before.begin(), it.before.end(), absent) ||
-            !std::all_of(it.former.begin(), it.former.end(), absent))
-            continue;
-        for (const host_id& host : it.before)
-            if (is_absent(status_of(host)))
-                wanted.insert(host);
-        for (const host_id& host : it.former)
-            if (is_absent(status_of(host)))
-                wanted.insert(host);
+    std::vector<const claim*> open;
+    for (const auto& [searcher, it] : claims_)
+        if (!it.blocked && std::all_of(it.before.begin(), it.before.end(), absent) &&
+            std::all_of(it.former.begin(), it.former.end(), absent))
+            open.push_back(&it);
+    std::sort(open.begin(), open.end(), [](const claim* a, const claim* b) {
+        return a->before.size() + a->former.size() < b->before.size() + b->former.size();
+    });
+    for (const claim* it : open) {
+        if (wanted.size() + it->before.size() + it->former.size() > max_wanted_fences)
+            break;
+        wanted.insert(it->before.begin(), it->before.end());
+        wanted.insert(it->former.begin(), it->former.end());
     }
+    std::erase_if(wanted, [&](const host_id& host) { return !is_absent(status_of(host)); });
     return wanted;
 }
 
--- a/tests/auto/membership/tst_membershipagent.cpp
+++ b/tests/auto/membership/tst_membershipagent.cpp
@@ -234,6 +234,23 @@
     }
 }
 
+// Failure: hosts flood the fleet with fence requests while all of them start.
+Test(membership_agent, start_of_a_fleet_is_bounded)
+{
+    agent_fleet fleet{9};
+    fleet.declare(40, 5, 40);
+    fleet.start_all(40);
+    for (int second = 0; second < 15; ++second) {
+        fleet.run(1s);
+        for (auto& [host, it] : fleet.members) {
+            // 24 heartbeats and replies on average, 2 x 16 x 3 fence requests, and
+            // a host may monitor several times the average.
+            cr_assert_leq(std::exchange(it.sent, 0), 400);
+        }
+    }
+    cr_assert(fleet.all_held());
+}
+
 // Failure: the cost of one host grows with the fleet.
 Test(membership_agent, messages_per_host_are_bounded)
 {
