searcherlink: tests of a late close and of an endless reply

Cause: two guards of the link stayed green when broken. Change: the searcher closes between may_send and the write; a reply arrives byte by byte for ever. Conclusion: both guards are covered.

--- a/tests/auto/searcherlink/rawserver.h
+++ b/tests/auto/searcherlink/rawserver.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -34,6 +35,8 @@
 {
     std::string bytes;
     bool close_after = false;
+    // Then sends single bytes until the other side closes.
+    bool dribble = false;
 };
 
 class raw_server
@@ -82,6 +85,13 @@
         return requests_;
     }
 
+    void close_connections()
+    {
+        const std::scoped_lock guard{mutex_};
+        for (const int fd : sockets_)
+            shutdown(fd, SHUT_RDWR);
+    }
+
     std::size_t connections()
     {
         const std::scoped_lock guard{mutex_};
@@ -119,6 +129,8 @@
             }
             const answer reply = handler_(*request);
             send(fd, reply.bytes.data(), reply.bytes.size(), MSG_NOSIGNAL);
+            while (reply.dribble && send(fd, " ", 1, MSG_NOSIGNAL) == 1)
+                std::this_thread::sleep_for(std::chrono::milliseconds{1});
             if (reply.close_after) {
                 shutdown(fd, SHUT_RDWR);
                 return;
--- a/tests/auto/searcherlink/tst_searcherlink.cpp
+++ b/tests/auto/searcherlink/tst_searcherlink.cpp
@@ -21,13 +21,14 @@
 class link_fixture
 {
 public:
-    explicit link_fixture(std::uint16_t port, bool may_send = true)
+    explicit link_fixture(
+        std::uint16_t port, std::function<bool()> may_send = [] { return true; })
         : link_(5, endpoint{"127.0.0.1", port},
                 {[this](const link_reply& it) { reply_.set_value(it); },
                  [this](const link_probed& it) { probed_.push_back(it); },
                  [this](const link_opened& it) { opened_.set_value(it); },
-                 [may_send](duration) {
-                     return may_send;
+                 [may_send = std::move(may_send)](duration) {
+                     return may_send();
                  }})
     {
     }
@@ -58,7 +59,8 @@
 
 /// A link that is open. Tried again, because a health request may take longer than
 /// its 500 ms on a busy machine.
-std::unique_ptr<link_fixture> opened_link(const raw_server& server, bool may_send = true)
+std::unique_ptr<link_fixture> opened_link(
+    const raw_server& server, const std::function<bool()>& may_send = [] { return true; })
 {
     for (int n = 0; n < 20; ++n) {
         auto it = std::make_unique<link_fixture>(server.port(), may_send);
@@ -163,7 +165,7 @@
 Test(searcherlink, call_is_not_sent_when_it_may_not_be)
 {
     raw_server server{call_answer(http_reply(200, good_body))};
-    const link_reply reply = opened_link(server, false)->call();
+    const link_reply reply = opened_link(server, [] { return false; })->call();
     cr_assert(reply.status == reply_status::cancelled && reply.not_sent);
     cr_assert_eq(count(server, "POST"), 0U);
 }
@@ -181,6 +183,32 @@
     cr_assert_eq(count(server, "POST"), 0U, "no second connection for the call");
 }
 
+// Guards against the same when the searcher closes between the check and the
+// write: the client must not connect again, because may_send was asked before.
+Test(searcherlink, connection_closed_right_before_the_write_carries_no_call)
+{
+    raw_server server{call_answer(http_reply(200, good_body))};
+    const auto it = opened_link(server, [&] {
+        server.close_connections();
+        return true;
+    });
+    const link_reply reply = it->call();
+    cr_assert(reply.status == reply_status::lost && reply.not_sent);
+    cr_assert_eq(count(server, "POST"), 0U);
+}
+
+// Guards against a searcher that sends a byte now and then holding a slot.
+Test(searcherlink, endless_reply_ends_at_the_timeout, .timeout = 20)
+{
+    raw_server server{[](const std::string& request) {
+        return request.starts_with("GET /health")
+                   ? answer{healthy}
+                   : answer{"HTTP/1.1 200 X\r\nContent-Length: 900000000\r\n\r\n", false, true};
+    }};
+    const link_reply reply = opened_link(server)->call(true, milliseconds{30});
+    cr_assert(reply.status == reply_status::lost && !reply.not_sent);
+}
+
 // Guards against a silent connection holding the thread for ever, and against a
 // link that cannot be destroyed while a call waits.
 Test(searcherlink, silent_connection_times_out_and_can_be_destroyed, .timeout = 20)
