--- /dev/null
+++ b/tests/auto/history/tst_historychecker.cpp
@@ -0,0 +1,205 @@
+// Guards the history checker: for each invariant a history that breaks it must
+// be found, and one that differs in the decisive record must pass.
+#include "history/historychecker.h"
+#include "history/recordreader.h"
+
+#include <criterion/criterion.h>
+
+#include <initializer_list>
+#include <string>
+
+using namespace ebonywick::history;
+
+namespace {
+
+std::string check(std::initializer_list<std::string> lines)
+{
+    std::vector<record> records;
+    for (const std::string& it : lines) {
+        auto read = read_line(it, "test");
+        const auto* problem = std::get_if<line_error>(&read);
+        cr_assert_null(problem, "%s in %s", problem == nullptr ? "" : to_string(*problem).c_str(),
+                       it.c_str());
+        records.push_back(std::get<record>(std::move(read)));
+    }
+    const auto found = check_history(std::move(records));
+    return found.empty() ? "" : found.front().invariant;
+}
+
+void expect(const std::string& invariant, std::initializer_list<std::string> broken,
+            std::initializer_list<std::string> sound)
+{
+    const std::string first = check(broken);
+    cr_assert_str_eq(first.c_str(), invariant.c_str());
+    const std::string second = check(sound);
+    cr_assert_str_eq(second.c_str(), "");
+}
+
+std::string request(const std::string& fields)
+{
+    return R"({"type":"search","start":100,"end":200,"host":"h","service":"k",)" + fields + "}";
+}
+
+std::string answer(const std::string& fields)
+{
+    return request(R"("status":200,"outcome":"answered","request_id":"q","version":7,)" + fields);
+}
+
+std::string end_of(const std::string& call, const std::string& version)
+{
+    return R"({"t":150,"event":"end","searcher":"s","call":")" + call +
+           R"(","status":"completed","version":)" + version + "}";
+}
+
+std::string start_at(const std::string& seconds, const std::string& extra = "")
+{
+    return R"({"t":)" + seconds + R"(000000000,"event":"start","searcher":"s","call":"q-0-)" +
+           seconds + R"(","version":7)" + extra + "}";
+}
+
+std::string at(const std::string& seconds, const std::string& fields)
+{
+    return R"({"t":)" + seconds + "000000000," + fields + "}";
+}
+
+const std::string declared =
+    R"({"kind":"searcher","searcher":"s","failure_domain":"a","cold_concurrency":1})";
+
+} // namespace
+
+Test(history, i1_one_snapshot)
+{
+    const auto two = R"("merged":2,"total":2,"missing":[])";
+    expect("I1", {answer(two), end_of("q-0-0", "7"), end_of("q-1-0", "6")},
+           {answer(two), end_of("q-0-0", "7"), end_of("q-1-0", "7"), end_of("q-1-1", "6")});
+    const auto one = std::string{R"("merged":1,"total":1,"missing":[],"hit_versions":)"};
+    expect("I1", {answer(one + "[7,6]"), end_of("q-0-0", "7")},
+           {answer(one + "[7,7]"), end_of("q-0-0", "7")});
+}
+
+Test(history, i2_coverage_is_true)
+{
+    const auto two = R"("merged":2,"total":2,"missing":[])";
+    expect("I2", {answer(two), end_of("q-0-0", "7"), end_of("q-0-1", "7")},
+           {answer(two), end_of("q-0-0", "7"), end_of("q-1-0", "7")});
+    expect("I2", {answer(R"("merged":1,"total":2,"missing":[])"), end_of("q-0-0", "7")},
+           {answer(R"("merged":1,"total":2,"missing":["s1"])"), end_of("q-0-0", "7")});
+}
+
+Test(history, i3_cold_limit)
+{
+    const auto cold = R"(,"cold":true)";
+    const auto ended =
+        at("2", R"("event":"end","searcher":"s","call":"q-0-1","status":"completed",)"
+                R"("version":7)");
+    expect("I3", {declared, start_at("1", cold), start_at("3", cold)},
+           {declared, start_at("1", cold), ended, start_at("3", cold)});
+    expect("I3", {declared, at("1", R"("kind":"cold_peak","searcher":"s","concurrent":2)")},
+           {declared, at("1", R"("kind":"cold_peak","searcher":"s","concurrent":1)")});
+}
+
+Test(history, i4_domain_out)
+{
+    const auto out = at("1", R"("kind":"domain_out","failure_domain":"a")");
+    const auto back = at("4", R"("kind":"domain_back","failure_domain":"a")");
+    expect("I4", {declared, out, start_at("5")}, {declared, out, back, start_at("5")});
+    expect("I4", {declared, out, start_at("5")}, {declared, out, start_at("4")});
+}
+
+Test(history, i5_own_answer)
+{
+    const auto plain = std::string{R"("status":504,"outcome":"unknown","request_id":)"};
+    expect("I5", {request(plain + R"("q","wrong":"query")")}, {request(plain + R"("q")")});
+    expect("I5", {request(plain + R"("q")"), request(plain + R"("q")")},
+           {request(plain + R"("q")"), request(plain + R"("r")")});
+}
+
+Test(history, i6_not_run_is_true)
+{
+    const auto refused = std::string{R"("status":503,"outcome":"not_run","request_id":)"};
+    expect("I6", {request(refused + R"("q")"), start_at("1")},
+           {request(refused + R"("r")"), start_at("1")});
+}
+
+Test(history, i7_at_most_one_run)
+{
+    const auto run = [](const std::string& key) {
+        return at("1", R"("event":"order","searcher":"s","call":"q-0-0","key":")" + key + R"(")");
+    };
+    expect("I7", {run("a"), run("a")}, {run("a"), run("b")});
+    const auto told = std::string{R"("status":200,"outcome":"answered","key":"a","reply":)"};
+    expect("I7", {request(told + R"("x")"), request(told + R"("y")")},
+           {request(told + R"("x")"), request(told + R"("x")")});
+}
+
+Test(history, i8_leaving_searcher)
+{
+    const auto leave = at("1", R"("kind":"searcher_leaving","searcher":"s")");
+    const auto back = at("4", R"("kind":"searcher_back","searcher":"s")");
+    expect("I8", {leave, start_at("5")}, {leave, back, start_at("5")});
+    expect("I8", {leave, start_at("5")}, {leave, start_at("4")});
+}
+
+Test(history, i9_graceful_shutdown)
+{
+    const auto leave = R"({"t":150,"kind":"host_leave","host":"h"})";
+    const auto restart = R"({"t":90,"kind":"host_start","host":"h"})";
+    const auto later = R"({"t":160,"kind":"host_start","host":"h"})";
+    const auto cut = request(R"("status":0,"outcome":"unknown")");
+    const auto kept = request(R"("status":200,"outcome":"unknown")");
+    expect("I9", {leave, later, cut}, {leave, later, kept});
+    expect("I9", {leave, R"({"t":300,"kind":"host_end","host":"h","exit_code":3})"},
+           {leave, R"({"t":300,"kind":"host_end","host":"h","exit_code":0})"});
+    const auto earlier = R"({"t":80,"kind":"host_leave","host":"h"})";
+    expect("I9", {earlier, cut}, {earlier, restart, cut});
+}
+
+Test(history, i10_configuration)
+{
+    const auto write = [](const std::string& version) {
+        return R"({"time":1000000000,"key":"ebonywick/config","version":)" + version +
+               R"(,"result":"accepted"})";
+    };
+    const auto status = [](const std::string& seconds, const std::string& version,
+                           const std::string& current = "true") {
+        return at(seconds, R"("kind":"host_status","host":"h","incarnation":1,"config_version":)" +
+                               version + R"(,"current":)" + current);
+    };
+    expect("I10", {status("1", "5"), status("2", "4")}, {status("1", "4"), status("2", "5")});
+    expect("I10", {write("5"), status("5", "4")}, {write("5"), status("4", "4")});
+    expect("I10", {write("5"), status("5", "4")}, {write("5"), status("5", "4", "false")});
+    const auto change = [](const std::string& fields) {
+        return at("2", R"("kind":"change",)" + fields);
+    };
+    const auto won = [&](const std::string& version) {
+        return change(R"("told":"accepted","version":)" + version);
+    };
+    expect("I10", {won("5")}, {write("5"), won("5")});
+    expect("I10", {write("5"), won("5"), won("5")}, {write("5"), write("6"), won("5"), won("6")});
+    expect("I10", {write("5"), write("6"), won("5"), change(R"("told":"conflict")")},
+           {write("5"), won("5"), change(R"("told":"conflict")")});
+}
+
+// Failure: a line that is skipped silently hides the violation that it shows.
+Test(history, malformed_lines_are_typed_errors)
+{
+    const std::pair<const char*, line_problem> cases[] = {
+        {R"({"t":1,"event":"start")", line_problem::not_json},
+        {"[1]", line_problem::not_json},
+        {R"({"t":1,"kind":"other"})", line_problem::unknown_kind},
+        {R"({"t":1,"event":"other"})", line_problem::unknown_kind},
+        {R"({"t":1,"kind":"host_leave"})", line_problem::missing_field},
+        {R"({"t":1,"kind":"change","told":"accepted"})", line_problem::missing_field},
+        {R"({"t":"1","kind":"host_leave","host":"h"})", line_problem::wrong_type},
+        {R"({"t":1,"kind":"change","told":"maybe"})", line_problem::unknown_value},
+        {R"({"time":1,"key":"k","version":1,"result":"x"})", line_problem::unknown_value},
+        {R"({"t":1,"event":"end","searcher":"s","call":"c","version":1,"status":"x"})",
+         line_problem::unknown_value},
+    };
+    for (const auto& [line, problem] : cases) {
+        const auto read = read_line(line, "f:1");
+        const auto* found = std::get_if<line_error>(&read);
+        cr_assert_not_null(found, "%s", line);
+        cr_assert_eq(found->problem, problem, "%s", line);
+    }
+}
