--- a/src/libs/operatorclient/hoststatus.cpp
+++ b/src/libs/operatorclient/hoststatus.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace ebonywick {
 
@@ -85,26 +86,28 @@
 
 std::vector<host_id> choose_witnesses(const std::vector<asked_host>& hosts)
 {
-    std::vector<const host_report*> serving;
+    std::vector<const host_report*> usable;
     for (const auto& host : hosts) {
-        if (host.report && host.report->status == "serving")
-            serving.push_back(&*host.report);
+        if (host.report && (host.report->status == "serving" || host.report->status == "joining"))
+            usable.push_back(&*host.report);
     }
-    std::sort(serving.begin(), serving.end(),
-              [](const auto* one, const auto* two) { return one->id < two->id; });
-    auto wanted = std::min(most_witnesses, serving.size());
+    std::sort(usable.begin(), usable.end(), [](const auto* one, const auto* two) {
+        return std::tuple{one->status == "joining", one->id} <
+               std::tuple{two->status == "joining", two->id};
+    });
+    auto wanted = std::min(most_witnesses, usable.size());
     if (wanted > 0 && wanted % 2 == 0)
         --wanted;
     std::vector<host_id> out;
     std::map<failure_domain_id, std::size_t> chosen;
     while (out.size() < wanted) {
         const auto next =
-            std::min_element(serving.begin(), serving.end(), [&](const auto* one, const auto* two) {
+            std::min_element(usable.begin(), usable.end(), [&](const auto* one, const auto* two) {
                 return chosen[one->domain] < chosen[two->domain];
             });
         ++chosen[(*next)->domain];
         out.push_back((*next)->id);
-        serving.erase(next);
+        usable.erase(next);
     }
     std::sort(out.begin(), out.end());
     return out;
--- a/src/libs/operatorclient/hoststatus.h
+++ b/src/libs/operatorclient/hoststatus.h
@@ -50,8 +50,9 @@
 /// Table for the terminal, one line for each host.
 [[nodiscard]] std::string status_table(const std::vector<asked_host>& hosts);
 
-/// Up to five serving hosts, spread over the failure domains; an odd number, so
-/// that a majority survives as many losses as possible. Empty if none serves.
+/// Up to five hosts, spread over the failure domains; an odd number, so that a
+/// majority survives as many losses as possible. Serving hosts come first, then
+/// joining ones: hosts restarted after the loss of the witnesses stay joining.
 [[nodiscard]] std::vector<host_id> choose_witnesses(const std::vector<asked_host>& hosts);
 
 } // namespace ebonywick
--- a/src/libs/operatorclient/operatorsession.cpp
+++ b/src/libs/operatorclient/operatorsession.cpp
@@ -233,7 +233,7 @@
     wanted.hosts.previous_witnesses.clear();
     if (wanted.hosts.witnesses.empty())
         return {change_status::invalid, current.version,
-                "no host of the roster answers /v1/status; start hosts first"};
+                "no serving or joining host of the roster answers /v1/status; start hosts first"};
     for (const auto& difference : differences(current.object.hosts, wanted.hosts))
         print_(to_string(difference));
     if (wanted.hosts == current.object.hosts)
