node, wire: reports only from gates, medians and changed declarations for gates

Cause: a refusal that was made up on the way to the holder carried an empty report, which cleared a searcher's leaving and cold marks at the entry host; the gates ignored actions of a changed declaration and knew no group median. Change: a reply's report is optional; a gate's actions after a changed declaration are carried out, a moved searcher gets a new gate, and the gates learn the median call time of their service once a second.

--- a/src/libs/node/callrouter.cpp
+++ b/src/libs/node/callrouter.cpp
@@ -126,7 +126,7 @@
         call_reply failed;
         failed.id = request.id;
         failed.searcher = request.searcher;
-        failed.report.searcher = request.searcher;
+
         failed.failure = error_kind::not_holder;
         s.handlers.on_reply(failed);
         return host_id{};
--- a/src/libs/node/gatesupervisor.cpp
+++ b/src/libs/node/gatesupervisor.cpp
@@ -2,6 +2,7 @@
 // out after its lock is released, except for those that only touch its links.
 #include "node/gatesupervisor.h"
 
+#include "base/latencywindow.h"
 #include "dispatch/searchergate.h"
 #include "searcherlink/searcherlink.h"
 
@@ -21,6 +22,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds probe_timeout{100};
+// How often the gates learn the median call time of their service.
+constexpr std::chrono::milliseconds median_interval{1000};
 
 /// A call between its offer and its end at the gate.
 struct pending_call
@@ -55,6 +58,7 @@
     bool stopped = false;
     // What the searcher reported last.
     std::vector<index_version> versions;
+    service_name service;
 };
 
 struct gate_supervisor::state
@@ -75,6 +79,11 @@
     /// Feeds one event to a gate whose lock the caller holds.
     void handle(gate& g, const gate_ptr& owner, const gate_event& ev,
                 std::vector<outgoing_reply>& out);
+    void execute_all(gate& g, const gate_ptr& owner, const std::vector<gate_action>& actions,
+                     std::vector<outgoing_reply>& out);
+    void update_gate(const gate_ptr& owner, const searcher_place& place);
+    void set_held(const gate_ptr& owner, bool held);
+    void update_medians();
     void execute(gate& g, const start_call& action);
     void execute(gate& g, const reject_call& action, std::vector<outgoing_reply>& out);
     void execute(gate& g, const gate_ptr& owner, const open_link& action);
@@ -85,7 +94,7 @@
     void on_link_reply(const gate_ptr& owner, const link_reply& reply);
     void finish_call(gate& g, const link_reply& reply, std::vector<outgoing_reply>& out);
     void feed(const gate_ptr& owner, const gate_event& ev);
-    void fill_report(gate& g, searcher_report& report) const;
+    [[nodiscard]] static searcher_report make_report(const gate& g);
     void reap(const std::stop_token& stop);
 
     node_metrics& metrics;
@@ -98,6 +107,11 @@
     std::unordered_map<searcher_id, gate_ptr> gates;
     fleet_view_ptr view = std::make_shared<fleet_view>();
 
+    std::mutex medians_mutex;
+    // Guarded by medians_mutex: recent call times of each service's searchers.
+    std::unordered_map<service_name, latency_window> call_times;
+    time_point next_medians{};
+
     // Closed links are destroyed here, because a link's own thread cannot wait
     // for itself.
     tbb::concurrent_bounded_queue<std::shared_ptr<void>> closed;
@@ -111,6 +125,70 @@
     return it == gates.end() ? nullptr : it->second;
 }
 
+void gate_supervisor::state::update_gate(const gate_ptr& owner, const searcher_place& place)
+{
+    std::vector<outgoing_reply> out;
+    bool moved = false;
+    bool held = false;
+    {
+        const std::lock_guard lock{owner->mutex};
+        gate& g = *owner;
+        held = g.held;
+        moved = place.declaration.address != g.declaration.address;
+        if (moved) {
+            // Calls in progress end on the links to the former address.
+            g.held = false;
+            handle(g, owner, responsibility_changed{false}, out);
+        } else if (place.declaration != g.declaration) {
+            g.declaration = place.declaration;
+            execute_all(g, owner, g.decision.configure(place.declaration, boot_clock::now()), out);
+        }
+        if (!moved && place.domain_out != g.domain_out) {
+            g.domain_out = place.domain_out;
+            handle(g, owner, domain_changed{place.domain_out}, out);
+        }
+    }
+    send(out);
+    if (!moved)
+        return;
+    const auto renewed = std::make_shared<gate>(place.declaration);
+    renewed->domain_out = place.domain_out;
+    renewed->service = place.service;
+    {
+        const std::unique_lock lock{mutex};
+        gates[place.declaration.id] = renewed;
+    }
+    set_held(renewed, held);
+}
+
+void gate_supervisor::state::set_held(const gate_ptr& owner, bool held)
+{
+    std::vector<outgoing_reply> out;
+    {
+        const std::lock_guard lock{owner->mutex};
+        owner->held = held;
+        handle(*owner, owner, domain_changed{owner->domain_out}, out);
+        handle(*owner, owner, responsibility_changed{held}, out);
+    }
+    send(out);
+}
+
+void gate_supervisor::state::update_medians()
+{
+    std::unordered_map<service_name, duration> medians;
+    {
+        const std::lock_guard lock{medians_mutex};
+        for (const auto& [service, window] : call_times)
+            medians[service] = window.quantile(0.5);
+    }
+    for (const gate_ptr& it : all()) {
+        const std::lock_guard lock{it->mutex};
+        const auto median = medians.find(it->service);
+        if (median != medians.end())
+            it->decision.set_group_median(median->second);
+    }
+}
+
 std::vector<gate_supervisor::state::gate_ptr> gate_supervisor::state::all() const
 {
     const std::shared_lock lock{mutex};
@@ -124,7 +202,14 @@
 void gate_supervisor::state::handle(gate& g, const gate_ptr& owner, const gate_event& ev,
                                     std::vector<outgoing_reply>& out)
 {
-    for (const gate_action& action : g.decision.handle(ev, boot_clock::now())) {
+    execute_all(g, owner, g.decision.handle(ev, boot_clock::now()), out);
+}
+
+void gate_supervisor::state::execute_all(gate& g, const gate_ptr& owner,
+                                         const std::vector<gate_action>& actions,
+                                         std::vector<outgoing_reply>& out)
+{
+    for (const gate_action& action : actions) {
         if (const auto* start = std::get_if<start_call>(&action))
             execute(g, *start);
         else if (const auto* reject = std::get_if<reject_call>(&action))
@@ -167,7 +252,7 @@
     rejected.reply.id = action.id;
     rejected.reply.searcher = g.declaration.id;
     rejected.reply.failure = action.reason.kind;
-    fill_report(g, rejected.reply.report);
+    rejected.reply.report = make_report(g);
     rejected.origin = it->second.origin;
     out.push_back(std::move(rejected));
     g.calls.erase(it);
@@ -215,13 +300,15 @@
                {"reason", std::string_view{action.reason}}});
 }
 
-void gate_supervisor::state::fill_report(gate& g, searcher_report& report) const
+searcher_report gate_supervisor::state::make_report(const gate& g)
 {
-    report.searcher = g.declaration.id;
-    report.versions = g.versions;
-    report.queue_length = g.decision.queued();
-    report.cold = !g.decision.warm();
-    report.leaving = g.decision.leaving();
+    searcher_report out;
+    out.searcher = g.declaration.id;
+    out.versions = g.versions;
+    out.queue_length = g.decision.queued();
+    out.cold = !g.decision.warm();
+    out.leaving = g.decision.leaving();
+    return out;
 }
 
 void gate_supervisor::state::finish_call(gate& g, const link_reply& reply,
@@ -236,7 +323,7 @@
     done.reply.from = reply.from;
     done.reply.shard = reply.shard;
     done.reply.waited = it->second.waited;
-    fill_report(g, done.reply.report);
+    done.reply.report = make_report(g);
     if (reply.version_not_held) {
         done.reply.failure = error_kind::version_not_held;
     } else if (reply.not_sent) {
@@ -248,7 +335,7 @@
             break;
         case reply_status::shed:
             done.reply.failure = error_kind::overloaded;
-            done.reply.report.shedding = true;
+            done.reply.report->shedding = true;
             break;
         case reply_status::lost:
             done.reply.failure = error_kind::reply_lost;
@@ -282,6 +369,10 @@
         finish_call(*owner, reply, out);
         handle(*owner, owner, ev, out);
     }
+    if (reply.status == reply_status::completed) {
+        const std::lock_guard lock{medians_mutex};
+        call_times[owner->service].add(reply.latency);
+    }
     send(out);
 }
 
@@ -355,22 +446,9 @@
         state_->view = view;
     }
     for (const auto& it : state_->all()) {
-        std::vector<outgoing_reply> out;
-        {
-            const std::lock_guard lock{it->mutex};
-            const searcher_place* place = view->find(it->declaration.id);
-            if (place == nullptr)
-                continue;
-            if (place->declaration != it->declaration) {
-                it->declaration = place->declaration;
-                it->decision.configure(place->declaration, boot_clock::now());
-            }
-            if (place->domain_out != it->domain_out) {
-                it->domain_out = place->domain_out;
-                state_->handle(*it, it, domain_changed{place->domain_out}, out);
-            }
-        }
-        state_->send(out);
+        const searcher_place* place = view->find(it->declaration.id);
+        if (place != nullptr)
+            state_->update_gate(it, *place);
     }
 }
 
@@ -383,17 +461,11 @@
         if (!held || place == nullptr)
             return;
         it = std::make_shared<gate>(place->declaration);
+        it->service = place->service;
         state_->gates[searcher] = it;
         it->domain_out = place->domain_out;
     }
-    std::vector<outgoing_reply> out;
-    {
-        const std::lock_guard lock{it->mutex};
-        it->held = held;
-        state_->handle(*it, it, domain_changed{it->domain_out}, out);
-        state_->handle(*it, it, responsibility_changed{held}, out);
-    }
-    state_->send(out);
+    state_->set_held(it, held);
 }
 
 void gate_supervisor::offer(const call_request& request, const call_origin& origin)
@@ -404,7 +476,7 @@
         call_reply refused;
         refused.id = request.id;
         refused.searcher = request.searcher;
-        refused.report.searcher = request.searcher;
+
         refused.failure = error_kind::not_holder;
         state_->handlers.reply(std::move(refused), origin);
         return;
@@ -431,6 +503,11 @@
 {
     for (const auto& it : state_->all())
         state_->feed(it, gate_tick{});
+    const time_point now = boot_clock::now();
+    if (now < state_->next_medians)
+        return;
+    state_->next_medians = now + median_interval;
+    state_->update_medians();
 }
 
 gate_totals gate_supervisor::totals() const
--- a/src/libs/node/queryservice.cpp
+++ b/src/libs/node/queryservice.cpp
@@ -314,15 +314,21 @@
         const time_point now = boot_clock::now();
         service_runtime& runtime = *query->runtime;
         const std::lock_guard lock{runtime.mutex};
-        runtime.selector.observe(reply.report);
-        if (reply.report.shedding)
-            runtime.selector.observe_shedding(now);
+        if (reply.report) {
+            runtime.selector.observe(*reply.report);
+            if (reply.report->shedding)
+                runtime.selector.observe_shedding(now);
+        }
+
         state_->apply(query->runtime,
                       runtime.admission.handle(
                           queue_wait_observed{query->request.service, reply.waited}, now),
                       out);
         if (query->is_order && !query->ended) {
+            if (reply.failure)
+                runtime.selector.observe_failure(reply.searcher, *reply.failure, snapshot{});
             query->ended = true;
+
             query->order_reply = reply;
             out.ended.push_back(query);
         } else if (query->coordinator && !query->ended) {
@@ -401,6 +407,7 @@
         const shard_map& map = runtime->declaration->shard_maps.back();
         const auto index = static_cast<std::uint32_t>(stable_hash(key) % map.shards.size());
         const shard_name& shard = map.shards[index].name;
+        runtime->selector.advance(boot_clock::now());
         const auto choice = runtime->selector.choose(shard, snapshot{}, {});
         if (!choice)
             return failed;
--- a/src/libs/wire/dispatchmessage.h
+++ b/src/libs/wire/dispatchmessage.h
@@ -45,7 +45,8 @@
     std::optional<error_kind> failure;
     snapshot from;
     shard_name shard;
-    searcher_report report;
+    // Empty if the reply does not come from the searcher's gate.
+    std::optional<searcher_report> report;
     // Time that the call waited in the gate's queue.
     duration waited = duration::zero();
     std::string body;
--- a/src/libs/wire/wireconversion.cpp
+++ b/src/libs/wire/wireconversion.cpp
@@ -188,6 +188,16 @@
     out.set_idempotency_key(from.idempotency_key);
 }
 
+void write_report(const searcher_report& from, wire::CallReply& out)
+{
+    for (const index_version it : from.versions)
+        out.add_held_versions(it);
+    out.set_queue_length(from.queue_length);
+    out.set_cold(from.cold);
+    out.set_leaving(from.leaving);
+    out.set_shedding(from.shedding);
+}
+
 void write(const call_reply& from, wire::DispatchMessage& to)
 {
     wire::CallReply& out = *to.mutable_call_reply();
@@ -197,13 +207,10 @@
     out.set_version(from.from.version);
     out.set_epoch(from.from.epoch);
     out.set_shard(from.shard.value());
-    for (const index_version it : from.report.versions)
-        out.add_held_versions(it);
-    out.set_queue_length(from.report.queue_length);
+    out.set_reported(from.report.has_value());
+    if (from.report)
+        write_report(*from.report, out);
     out.set_waited_us(std::uint64_t(whole_us(from.waited).count()));
-    out.set_cold(from.report.cold);
-    out.set_leaving(from.report.leaving);
-    out.set_shedding(from.report.shedding);
     out.set_body(from.body);
 }
 
@@ -245,10 +252,12 @@
         out.failure = static_cast<error_kind>(in.status() - 1);
     out.from = snapshot{in.version(), in.epoch()};
     out.shard = shard_name{in.shard()};
-    out.report =
-        searcher_report{out.searcher,      {in.held_versions().begin(), in.held_versions().end()},
-                        in.queue_length(), in.cold(),
-                        in.leaving(),      in.shedding()};
+    if (in.reported()) {
+        out.report = searcher_report{
+            out.searcher,      {in.held_versions().begin(), in.held_versions().end()},
+            in.queue_length(), in.cold(),
+            in.leaving(),      in.shedding()};
+    }
     out.waited = from_us(in.waited_us());
     out.body = in.body();
     return out;
--- a/tests/auto/wire/tst_wireconversion.cpp
+++ b/tests/auto/wire/tst_wireconversion.cpp
@@ -51,7 +51,9 @@
     reply.report = searcher_report{searcher, {8, 7}, 2, true, true, true};
     reply.waited = 15us;
     reply.body = "[]";
-    return {request, reply, call_cancel{id, searcher}};
+    call_reply unreported = reply;
+    unreported.report.reset();
+    return {request, reply, unreported, call_cancel{id, searcher}};
 }
 
 } // namespace
