membership: test the bound on wanted fences directly

Cause: the fleet-start test stayed green when the bound was removed. Change: the test asks the responsibility rule itself with 64 hosts absent.

--- a/tests/auto/membership/tst_membershipagent.cpp
+++ b/tests/auto/membership/tst_membershipagent.cpp
@@ -2,6 +2,7 @@
 #include "agentfleet.h"
 
 #include "membership/rendezvous.h"
+#include "membership/responsibility.h"
 
 #include <criterion/criterion.h>
 
@@ -234,21 +235,24 @@
     }
 }
 
-// Failure: hosts flood the fleet with fence requests while all of them start.
-Test(membership_agent, start_of_a_fleet_is_bounded)
+// Failure: hosts flood the fleet with fence requests while all others are absent.
+Test(membership_agent, wanted_fences_are_bounded)
 {
     agent_fleet fleet{9};
-    fleet.declare(40, 5, 40);
-    fleet.start_all(40);
-    for (int second = 0; second < 15; ++second) {
-        fleet.run(1s);
-        for (auto& [host, it] : fleet.members) {
-            // 24 heartbeats and replies on average, 2 x 16 x 3 fence requests, and
-            // a host may monitor several times the average.
-            cr_assert_leq(std::exchange(it.sent, 0), 400);
-        }
-    }
-    cr_assert(fleet.all_held());
+    fleet.declare(64, 5, 64);
+    const object_learned& config = fleet.history.at({object_kind::config, 1});
+    const object_learned& hosts = fleet.history.at({object_kind::roster, 1});
+    placement tables;
+    place_hosts(tables, hosts.hosts, agent_fleet::name(7));
+    place_searchers(tables, hosts.hosts, config.config);
+    responsibility claims{agent_fleet::name(7)};
+    claims.set_placement(tables, {true, false});
+    claims.settle();
+    const auto wanted = claims.wanted_fences(
+        fence_keeper{agent_fleet::name(7)}, [](const host_id&) { return host_status::down; },
+        fleet.now);
+    cr_assert_leq(wanted.size(), 16);
+    cr_assert_geq(wanted.size(), 8);
 }
 
 // Failure: the cost of one host grows with the fleet.
