--- a/tests/auto/dispatch/tst_gatelinks.cpp
+++ b/tests/auto/dispatch/tst_gatelinks.cpp
@@ -120,4 +120,12 @@
     it.send(link_opened{stuck, true});
     const call_id id = it.offer();
     cr_assert_not(it.has_started(id), "a late report revives no link");
+    gate_fixture probed;
+    probed.hold();
+    probed.now += milliseconds{501};
+    probed.send(gate_tick{});
+    const std::uint32_t mute = probed.probing.at(0);
+    probed.now += milliseconds{501};
+    probed.send(gate_tick{});
+    cr_assert(probed.closed.contains(mute));
 }
