query: postpone hedges once while many shards are late

Of the 16 hedged queries above 60 ms (of 849), 6 had an original and a hedge that both straggled; the other 10 had a straggler whose hedge was refused until the silence retry at 90 to 100 ms. Shortly before, one query whose 66 calls were all delayed by the machine had sent 20 hedges at once and emptied the bucket.

Ruled out: late hedges (they left at 11 to 25 ms) and cold replicas (no limit fell in the run).

With more than 2 + shards / 16 shards open, a due hedge waits for one more hedge delay.

--- a/src/libs/query/queryattempts.cpp
+++ b/src/libs/query/queryattempts.cpp
@@ -20,6 +20,12 @@
 // Failures known as not run that are retried outside the budget, for each shard and
 // version (section 3.3 of the design).
 constexpr std::uint8_t free_retries_allowed = 2;
+// With more open shards than this when a hedge is due, not one replica but this host
+// or the whole group is late. Stragglers alone leave about 1 shard in 66 open.
+constexpr std::uint32_t straggling_shards(std::uint32_t shards)
+{
+    return 2 + shards / 16;
+}
 // Bounds the attempts of one shard at one snapshot.
 constexpr std::uint32_t attempts_allowed = 8;
 // A shard without a replica or without budget is tried again after 5 ms, doubling to
@@ -80,6 +86,13 @@
 void query_coordinator::state::hedge(const query_attempt& attempt, time_point now)
 {
     const std::uint32_t shard = attempt.shard;
+    if (open > straggling_shards(static_cast<std::uint32_t>(shards.size())) &&
+        !shards[shard].hedge_postponed) {
+        // Hedging them all would empty the budget, which stragglers then lack.
+        shards[shard].hedge_postponed = true;
+        watch(attempt, query_timer_kind::hedge, now + selector.hedge_delay());
+        return;
+    }
     const time_point silent_at = std::max(now + 1ms, attempt.sent + silence_limit(attempt.sent));
     watch(attempt, query_timer_kind::silence, silent_at);
     if (shards[shard].hedged || !selector.may_hedge(now) ||
--- a/src/libs/query/querystate.h
+++ b/src/libs/query/querystate.h
@@ -28,6 +28,7 @@
 
     status state = status::open;
     bool hedged = false;
+    bool hedge_postponed = false;
     bool reserve_used = false;
     bool retry_pending = false;
     retry_cause cause = retry_cause::none_chosen;
--- a/tests/auto/query/tst_querycoordinator.cpp
+++ b/tests/auto/query/tst_querycoordinator.cpp
@@ -114,6 +114,25 @@
     cr_assert(f.query->handle(late, f.now).empty());
 }
 
+// Failure: a pause of the host makes all calls late, and their hedges empty the budget
+// that stragglers need afterwards; or the calls are never hedged.
+Test(query_coordinator, hedges_are_postponed_once_while_many_shards_are_late)
+{
+    query_fixture f{16, 2};
+    f.report_all({5});
+    f.learn_latency();
+    f.start();
+    f.pass(f.selector.hedge_delay());
+    cr_assert_eq(f.history.size(), 16U);
+    const std::vector<send_call> first = f.calls();
+    for (std::size_t it = 1; it < first.size(); ++it)
+        f.answer(first[it], {5, 1});
+    f.pass(f.selector.hedge_delay());
+    cr_assert_eq(f.history.size(), 17U);
+    cr_assert(f.history.back().hedge);
+    cr_assert_eq(f.history.back().shard, first[0].shard);
+}
+
 // Failure: hedges add load to searchers that shed it or are cold.
 Test(query_coordinator, no_hedge_while_shedding_or_to_a_cold_searcher)
 {
