query: hedge a shard a second time when its hedge is late

A shard now gets at most two hedges, both paid from the budget; with two replicas the second goes to one that runs the call already.

--- a/src/libs/query/queryattempts.cpp
+++ b/src/libs/query/queryattempts.cpp
@@ -20,6 +20,9 @@
 // Failures known as not run that are retried outside the budget, for each shard and
 // version (section 3.3 of the design).
 constexpr std::uint8_t free_retries_allowed = 2;
+// At the target 0.7 % of the queries have a shard whose first hedge straggles too, which
+// would take most of the 1 % that may miss the p99.
+constexpr std::uint8_t hedges_allowed = 2;
 // With more open shards than this when a hedge is due, not one replica but this host
 // or the whole group is late. Stragglers alone leave about 1 shard in 66 open.
 constexpr std::uint32_t straggling_shards(std::uint32_t shards)
@@ -59,9 +62,10 @@
     actions.emplace_back(send_call{call_id{plan.id, shard, attempt.number},
                                    std::move(choice.searcher), map->shards[shard].name, wanted,
                                    plan.deadline, hedge, std::move(choice.passed_over)});
-    progress.hedged = progress.hedged || hedge;
+    if (hedge)
+        ++progress.hedges;
     const duration delay = selector.hedge_delay();
-    if (!progress.hedged && delay > duration::zero())
+    if (progress.hedges < hedges_allowed && delay > duration::zero())
         watch(attempt, query_timer_kind::hedge, now + delay);
     else
         watch(attempt, query_timer_kind::silence, now + silence_limit(now));
@@ -95,10 +99,14 @@
     }
     const time_point silent_at = std::max(now + 1ms, attempt.sent + silence_limit(attempt.sent));
     watch(attempt, query_timer_kind::silence, silent_at);
-    if (shards[shard].hedged || !selector.may_hedge(now) ||
+    if (shards[shard].hedges >= hedges_allowed || !selector.may_hedge(now) ||
         attempts.count_of(shard) >= attempts_allowed)
         return;
     std::optional<replica_choice> choice = choose(shard, true);
+    // With two replicas the second hedge goes to one that runs the call already: a single
+    // slow call says little about its searcher.
+    if (!choice && shards[shard].hedges > 0)
+        choice = choose(shard, false);
     if (!choice || selector.is_cold(choice->searcher) || !budget.try_take())
         return;
     send(shard, std::move(*choice), true, now);
--- a/src/libs/query/querystate.h
+++ b/src/libs/query/querystate.h
@@ -27,7 +27,7 @@
     enum class status : std::uint8_t { open, replied, lost };
 
     status state = status::open;
-    bool hedged = false;
+    std::uint8_t hedges = 0;
     bool hedge_postponed = false;
     bool reserve_used = false;
     bool retry_pending = false;
--- a/tests/auto/query/tst_querycoordinator.cpp
+++ b/tests/auto/query/tst_querycoordinator.cpp
@@ -114,6 +114,24 @@
     cr_assert(f.query->handle(late, f.now).empty());
 }
 
+// Failure: a query waits for a straggler because its only hedge straggles too, or hedges
+// without end.
+Test(query_coordinator, straggling_hedge_is_hedged_once_more)
+{
+    query_fixture f{1, 2};
+    f.report_all({5});
+    f.learn_latency();
+    f.start();
+    f.pass(2 * f.selector.hedge_delay());
+    cr_assert_eq(f.history.size(), 3U);
+    cr_assert(f.history.back().hedge);
+    f.pass(2 * f.selector.hedge_delay());
+    cr_assert_eq(f.history.size(), 3U);
+    f.answer(f.history.back(), {5, 1});
+    cr_assert(f.outcome.has_value());
+    cr_assert_eq(f.cancels.size(), 2U);
+}
+
 // Failure: a pause of the host makes all calls late, and their hedges empty the budget
 // that stragglers need afterwards; or the calls are never hedged.
 Test(query_coordinator, hedges_are_postponed_once_while_many_shards_are_late)
