controlcost: tool that measures the control decision of a settled fleet

Cause: the cost at 460 hosts was only known from trials in the test driver, which counts its own work and does not settle. Change: ebonywick-control-cost HOSTS SECONDS runs all hosts as real agents with simulated time, and prints processor time of the agents, encoded bytes, messages, adoption times and resident memory.

--- /dev/null
+++ b/src/tools/controlcost/controlfleet.cpp
@@ -0,0 +1,205 @@
+// Simulated time, delivery and counting of the fleet.
+#include "controlfleet.h"
+
+#include "base/clock.h"
+#include "control/objectcodec.h"
+#include "wire/wireconversion.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <ctime>
+#include <set>
+#include <thread>
+
+namespace ebonywick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration step_length = 5ms;
+// Each agent is called every 100 ms, the longest interval that it allows.
+constexpr std::size_t steps_per_tick = 20;
+constexpr std::size_t searchers_per_host = 7;
+constexpr std::size_t witnesses = 5;
+// Agents take in their first objects side by side; only their start is
+// parallel, which is not measured.
+constexpr std::size_t start_threads = 4;
+// Agents whose adoption of a new version is measured.
+constexpr std::size_t adopting_agents = 5;
+
+} // namespace
+
+double thread_cpu_s()
+{
+    timespec it{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &it);
+    return static_cast<double>(it.tv_sec) + static_cast<double>(it.tv_nsec) * 1e-9;
+}
+
+control_fleet::control_fleet(std::size_t hosts) : size_(hosts), now_(time_point{} + 1h)
+{
+    // One more id than hosts: the replacement in the measured roster change.
+    for (std::size_t it = 0; it <= hosts; ++it) {
+        ids_.emplace_back(fmt::format("host-{:03}", it));
+        index_.emplace(ids_.back(), it);
+    }
+    for (std::size_t it = 0; it < hosts * searchers_per_host / 3 * 3; ++it)
+        searchers_.emplace_back(fmt::format("catalogue-{:04}-{}", it / 3, it % 3));
+}
+
+object_learned control_fleet::roster_value(object_version version, std::size_t first_host) const
+{
+    object_learned value{object_kind::roster, version, {}, {}, {}};
+    for (std::size_t it = first_host; it < first_host + size_; ++it) {
+        const auto port = static_cast<std::uint16_t>(10000 + it);
+        value.hosts.hosts.push_back(roster_host{ids_[it],
+                                                failure_domain_id{fmt::format("domain-{}", it % 5)},
+                                                {"127.0.0.1", port},
+                                                {"127.0.0.1", port},
+                                                {"127.0.0.1", port}});
+        // Neither the host that goes nor the one that comes is a witness.
+        if (it > 0 && value.hosts.witnesses.size() < std::min(witnesses, size_ - 1))
+            value.hosts.witnesses.push_back(ids_[it]);
+    }
+    value.content = encode(roster_object{value.hosts, {}});
+    return value;
+}
+
+object_learned control_fleet::config_value(object_version version) const
+{
+    object_learned value{object_kind::config, version, {}, {}, {}};
+    service_declaration service;
+    service.name = service_name{"catalogue"};
+    service.shard_maps.emplace_back();
+    for (std::size_t it = 0; it < searchers_.size(); it += 3) {
+        shard_declaration shard{shard_name{fmt::format("{:04}", it / 3)}, {}};
+        for (std::size_t replica = it; replica < it + 3; ++replica)
+            shard.replicas.push_back(
+                searcher_declaration{searchers_[replica],
+                                     {"127.0.0.1", 9000},
+                                     failure_domain_id{fmt::format("domain-{}", replica % 5)},
+                                     4,
+                                     64,
+                                     1});
+        service.shard_maps[0].shards.push_back(std::move(shard));
+    }
+    value.config.services.push_back(std::move(service));
+    value.content = encode(config_object{value.config, {}});
+    return value;
+}
+
+void control_fleet::start()
+{
+    const object_learned config = config_value(1);
+    const object_learned roster = roster_value(1, 0);
+    agents_.resize(size_);
+    std::vector<std::vector<membership_action>> actions(size_);
+    std::vector<std::thread> threads;
+    for (std::size_t worker = 0; worker < start_threads; ++worker)
+        threads.emplace_back([&, worker] {
+            for (std::size_t it = worker; it < size_; it += start_threads) {
+                agents_[it] = std::make_unique<membership_agent>(ids_[it], 100 + it, it, now_);
+                agents_[it]->handle(config, now_);
+                actions[it] = agents_[it]->handle(roster, now_);
+            }
+        });
+    for (std::thread& it : threads)
+        it.join();
+    for (std::size_t it = 0; it < size_; ++it)
+        collect(it, std::move(actions[it]));
+}
+
+void control_fleet::run(duration length)
+{
+    for (const time_point end = now_ + length; now_ < end;)
+        step();
+}
+
+void control_fleet::step()
+{
+    now_ += step_length;
+    std::swap(arriving_, sent_);
+    sent_.clear();
+    std::vector<std::pair<std::size_t, std::vector<membership_action>>> actions;
+    std::vector<std::pair<std::size_t, membership_event>> events;
+    events.reserve(arriving_.size() + size_ / steps_per_tick + 1);
+    for (delivery& it : arriving_)
+        events.emplace_back(it.to, message_received{std::move(it.message)});
+    for (std::size_t it = steps_++ % steps_per_tick; it < size_; it += steps_per_tick)
+        events.emplace_back(it, membership_tick{});
+    actions.reserve(events.size());
+    // One reading of the clock for all agents of a step, because a reading costs
+    // about as much as a cheap event.
+    const double before = thread_cpu_s();
+    for (const auto& [to, ev] : events)
+        actions.emplace_back(to, agents_[to]->handle(ev, now_));
+    figures_.agent_cpu_s += thread_cpu_s() - before;
+    for (auto& [from, it] : actions)
+        collect(from, std::move(it));
+}
+
+void control_fleet::collect(std::size_t from, std::vector<membership_action> actions)
+{
+    for (membership_action& action : actions) {
+        auto* it = std::get_if<send_control>(&action);
+        if (it == nullptr)
+            continue;
+        count(from, it->message);
+        sent_.push_back(delivery{index_.at(it->to), std::move(it->message)});
+    }
+}
+
+void control_fleet::count(std::size_t from, const control_message& message)
+{
+    ++figures_.messages;
+    if (measures_bytes_)
+        figures_.bytes += encode_control(ids_[from], message).size();
+    const auto count_updates = [&](const std::vector<member_update>& updates) {
+        for (const member_update& it : updates)
+            ++(it.host == ids_[from] ? figures_.own_updates : figures_.other_updates);
+    };
+    if (const auto* request = std::get_if<heartbeat>(&message)) {
+        ++figures_.heartbeats;
+        count_updates(request->updates);
+        // A heartbeat repeats nothing but the own state.
+        figures_.news += request->updates.size() - 1;
+    } else if (const auto* reply = std::get_if<heartbeat_reply>(&message)) {
+        ++figures_.replies;
+        figures_.tokens += reply->tokens.size();
+        count_updates(reply->updates);
+    } else if (std::holds_alternative<fence_request>(message) ||
+               std::holds_alternative<fence_reply>(message))
+        ++figures_.fence_messages;
+}
+
+bool control_fleet::settled() const
+{
+    if (figures_.fence_messages > 0 || figures_.news > 0)
+        return false;
+    for (std::size_t it = 0; it < size_; ++it)
+        if (agents_[it]->status_of(ids_[it]) != host_status::serving)
+            return false;
+    std::size_t held = 0;
+    for (const searcher_id& searcher : searchers_) {
+        std::size_t holders = 0;
+        for (const auto& agent : agents_)
+            holders += agent->holds(searcher, now_) ? 1 : 0;
+        held += holders == 1 ? 1 : 0;
+    }
+    return held == searchers_.size();
+}
+
+double control_fleet::adoption_ms(object_kind kind)
+{
+    const object_learned value = kind == object_kind::roster ? roster_value(2, 1) : config_value(2);
+    const std::size_t n = std::min(adopting_agents, size_ - 1);
+    const double before = thread_cpu_s();
+    // The first host is the one that the new roster no longer lists.
+    for (std::size_t it = 1; it <= n; ++it)
+        agents_[it]->handle(value, now_);
+    return (thread_cpu_s() - before) * 1e3 / static_cast<double>(n);
+}
+
+} // namespace ebonywick
--- /dev/null
+++ b/src/tools/controlcost/main.cpp
@@ -0,0 +1,96 @@
+// ebonywick-control-cost HOSTS SECONDS: processor time, messages, bytes and
+// memory of the control decision of a settled fleet, as one JSON object.
+#include "controlfleet.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Simulated time after which the start of a fleet counts as failed.
+constexpr int max_start_s = 300;
+
+double resident_kib()
+{
+    std::ifstream file{"/proc/self/statm"};
+    double all = 0;
+    double resident = 0;
+    file >> all >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024.0;
+}
+
+int measure(std::size_t hosts, int seconds)
+{
+    ebonywick::control_fleet fleet{hosts};
+    const double kib_before = resident_kib();
+    fleet.start();
+    int start_s = 0;
+    for (bool settled = false; !settled; ++start_s) {
+        if (start_s == max_start_s) {
+            fmt::print(stderr, "the fleet is not settled after {} s\n", max_start_s);
+            return 1;
+        }
+        fleet.reset_figures();
+        fleet.run(1s);
+        settled = fleet.settled();
+    }
+    const double kib = resident_kib() - kib_before;
+    fleet.reset_figures();
+    fleet.measure_bytes(true);
+    fleet.run(std::chrono::seconds{seconds});
+    const ebonywick::control_figures figures = fleet.figures();
+    const bool settled = fleet.settled();
+    const double config_ms = fleet.adoption_ms(ebonywick::object_kind::config);
+    const double roster_ms = fleet.adoption_ms(ebonywick::object_kind::roster);
+    const double n = static_cast<double>(hosts) * seconds;
+    const auto rate = [&](std::size_t it) {
+        return static_cast<double>(it) / n;
+    };
+    const nlohmann::ordered_json report{
+        {"hosts", hosts},
+        {"measured_s", seconds},
+        {"simulated_start_s", start_s},
+        {"settled", settled},
+        {"cpu_ms_per_host_second", figures.agent_cpu_s * 1e3 / n},
+        {"bytes_sent_per_host_second", rate(figures.bytes)},
+        {"bytes_sent_and_received_per_host_second", 2 * rate(figures.bytes)},
+        {"messages_sent_per_host_second", rate(figures.messages)},
+        {"heartbeats_per_host_second", rate(figures.heartbeats)},
+        {"replies_per_host_second", rate(figures.replies)},
+        {"fence_messages_per_host_second", rate(figures.fence_messages)},
+        {"tokens_per_host_second", rate(figures.tokens)},
+        {"own_updates_per_host_second", rate(figures.own_updates)},
+        {"other_updates_per_host_second", rate(figures.other_updates)},
+        {"adopt_config_ms", config_ms},
+        {"adopt_roster_ms", roster_ms},
+        {"resident_kib_per_agent", kib / static_cast<double>(hosts)},
+    };
+    fmt::print("{}\n", report.dump(2));
+    return settled ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const long hosts = argc == 3 ? std::strtol(argv[1], nullptr, 10) : 0;
+    const long seconds = argc == 3 ? std::strtol(argv[2], nullptr, 10) : 0;
+    if (hosts < 4 || hosts > 999 || seconds < 1 || seconds > 600) {
+        fmt::print(stderr, "usage: ebonywick-control-cost HOSTS(4..999) SECONDS(1..600)\n");
+        return 2;
+    }
+    try {
+        return measure(static_cast<std::size_t>(hosts), static_cast<int>(seconds));
+    } catch (const std::exception& ex) {
+        fmt::print(stderr, "{}\n", ex.what());
+        return 2;
+    }
+}
