--- a/scripts/support/fleet.py
+++ b/scripts/support/fleet.py
@@ -265,6 +265,22 @@
         if waiting:
             raise FleetError(f"nodes {waiting} are not ready after {limit} s; see {self.folder}")
 
+    def wait_witnesses(self, count, limit=30.0):
+        """Waits until the roster names `count` witnesses and no witness is being
+        replaced; they are appointed one at a time. Raises FleetError."""
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            try:
+                code, roster = request(next(iter(self.http_ports.values())), "GET",
+                                       "/v1/control/config?kind=roster", timeout=2.0)
+            except (OSError, http.client.HTTPException):
+                code, roster = 0, None
+            if (code == 200 and len(roster["witnesses"]) >= count
+                    and not roster["previous_witnesses"]):
+                return
+            time.sleep(0.1)
+        raise FleetError(f"the roster names fewer than {count} witnesses after {limit} s")
+
     # -- faults -------------------------------------------------------------
 
     def store_admin(self, **command):
