membership: ticks recompute claims only while fences are in use

Cause: each tick looked up state and fence of the candidates of all claims, and these lookups were most of the processor time of a settled host. Change: a tick recomputes the claims only if at the last recomputation a fence was wanted or unexpired; all else that changes them marks them. The new test turns red when ticks never recompute. Conclusion: a settled host no longer pays for its claims.

--- a/src/libs/membership/agentmonitor.cpp
+++ b/src/libs/membership/agentmonitor.cpp
@@ -67,6 +67,7 @@
         // may still hear it, and its refutation must stand.
         if (silent && !it.asserted && registry.act_expired(subject, now)) {
             it.asserted = true;
+            claims_changed = true;
             if (gossip.assert_down(subject))
                 actions.emplace_back(host_changed{subject, host_status::down});
             notify_successors(subject, now);
--- a/src/libs/membership/agentstate.h
+++ b/src/libs/membership/agentstate.h
@@ -85,6 +85,9 @@
     bool was_current = false;
     // Fences, states or versions changed since claims were recomputed.
     bool claims_changed = true;
+    // At the last recomputation a fence was wanted or unexpired, so that the
+    // claims may change with time.
+    bool fences_in_use = false;
     // Lease and currency at the last recomputation.
     bool acted = false;
     // The present versions are settled (see responsibility).
--- a/src/libs/membership/fencekeeper.cpp
+++ b/src/libs/membership/fencekeeper.cpp
@@ -86,4 +86,11 @@
                                : std::max(it->second.grants.until(), it->second.no_lease_before);
 }
 
+bool fence_keeper::any_unexpired(time_point now) const
+{
+    return std::any_of(fences_.begin(), fences_.end(), [&](const auto& it) {
+        return now < std::max(it.second.grants.until(), it.second.no_lease_before);
+    });
+}
+
 } // namespace ebonywick
--- a/src/libs/membership/fencekeeper.h
+++ b/src/libs/membership/fencekeeper.h
@@ -35,6 +35,7 @@
     void note_reply(const fence_reply& reply);
 
     [[nodiscard]] time_point fenced_until(const host_id& subject) const;
+    [[nodiscard]] bool any_unexpired(time_point now) const;
 
 private:
     struct asked
--- a/src/libs/membership/membershipagent.cpp
+++ b/src/libs/membership/membershipagent.cpp
@@ -142,7 +142,8 @@
         for (auto& [host, it] : subjects)
             it.last_heard = std::max(it.last_heard, now - lease_duration / 2);
     last_tick = now;
-    claims_changed = true;
+    // Time alone changes claims only while fences are held or asked for.
+    claims_changed = claims_changed || fences_in_use;
     tracker.advance(now);
     use_confirmed_roster(now);
     send_due_heartbeats(now);
@@ -178,6 +179,7 @@
             settled_since = now;
         ever_settled = true;
         claims.settle();
+        claims_changed = true;
     }
     departed.clear();
 }
@@ -226,8 +228,12 @@
         return;
     claims_changed = false;
     acted = acts;
-    if (acts)
-        emit(fences.request(claims.wanted_fences(fences, status(), now), now));
+    fences_in_use = false;
+    if (acts) {
+        const std::set<host_id> wanted = claims.wanted_fences(fences, status(), now);
+        fences_in_use = !wanted.empty() || fences.any_unexpired(now);
+        emit(fences.request(wanted, now));
+    }
     std::string why_not = "not current";
     if (released)
         why_not = "lease released";
--- a/tests/auto/membership/tst_membershipagent.cpp
+++ b/tests/auto/membership/tst_membershipagent.cpp
@@ -124,6 +124,20 @@
     }
 }
 
+// Failure: a successor lets its fences lapse while nothing but the time changes.
+Test(membership_agent, successors_renew_their_fences)
+{
+    agent_fleet fleet = started(10, 7, 5, 20);
+    fleet.members[agent_fleet::name(4)].agent.reset();
+    fleet.run(2500ms);
+    for (int step = 0; step < 60; ++step) {
+        fleet.run(100ms);
+        cr_assert(fleet.all_held(), "step %d: %zu of %zu held", step, fleet.assignment().size(),
+                  fleet.searchers.size());
+    }
+    expect_safe(fleet, 10);
+}
+
 // Failure: a host that is cut off goes on under an old configuration.
 Test(membership_agent, cut_off_host_is_not_current_after_f)
 {
