transport: close connections without messages for 10 s

At 32 nodes a host had 32 outgoing and 32 incoming control connections, because one message (a seed, a fence) opened a connection for ever, and each has ZMTP heartbeats twice a second in both directions. The ZeroMQ I/O thread was the largest user of processor time.

Ruled out: the decisions (0.3 % of a core of 1.9 %) and the link threads (about 4 wake-ups a second each).

--- a/src/libs/transport/peertransport.cpp
+++ b/src/libs/transport/peertransport.cpp
@@ -42,8 +42,8 @@
 
 struct peer_transport::state
 {
-    state(endpoint address, message_handler handler)
-        : listen(std::move(address)), on_message(std::move(handler)), context(1),
+    state(endpoint address, message_handler handler, duration idle)
+        : listen(std::move(address)), on_message(std::move(handler)), idle_limit(idle), context(1),
           incoming(context, zmq::socket_type::router), wake_in(context, zmq::socket_type::pair),
           wake_out(context, zmq::socket_type::pair)
     {
@@ -66,15 +66,24 @@
     void receive_all();
     void send_all();
     zmq::socket_t& peer(const endpoint& to);
+    void close_idle_peers(time_point now);
     void wake();
 
+    struct peer_socket
+    {
+        zmq::socket_t socket;
+        time_point used{};
+    };
+
     endpoint listen;
     message_handler on_message;
+    duration idle_limit;
     zmq::context_t context;
     // Used by the I/O thread only.
     zmq::socket_t incoming;
     zmq::socket_t wake_in;
-    std::map<endpoint, zmq::socket_t> peers;
+    std::map<endpoint, peer_socket> peers;
+    time_point next_sweep{};
 
     std::mutex mutex;
     // Guarded by mutex; wake_out too.
@@ -87,6 +96,7 @@
     std::atomic<std::uint64_t> received_messages{0};
     std::atomic<std::uint64_t> received_bytes{0};
     std::atomic<std::uint64_t> dropped_messages{0};
+    std::atomic<std::uint64_t> open_peers{0};
     std::jthread thread;
 };
 
@@ -100,9 +110,12 @@
 
 zmq::socket_t& peer_transport::state::peer(const endpoint& to)
 {
+    const time_point now = boot_clock::now();
     const auto it = peers.find(to);
-    if (it != peers.end())
-        return it->second;
+    if (it != peers.end()) {
+        it->second.used = now;
+        return it->second.socket;
+    }
     zmq::socket_t socket{context, zmq::socket_type::dealer};
     socket.set(zmq::sockopt::linger, closing_linger_ms);
     socket.set(zmq::sockopt::sndhwm, peer_queue_messages);
@@ -111,7 +124,18 @@
     socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
     socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
     socket.connect(address_of(to));
-    return peers.emplace(to, std::move(socket)).first->second;
+    peer_socket& added = peers.emplace(to, peer_socket{std::move(socket), now}).first->second;
+    open_peers.store(peers.size());
+    return added.socket;
+}
+
+void peer_transport::state::close_idle_peers(time_point now)
+{
+    if (now < next_sweep)
+        return;
+    next_sweep = now + idle_limit / 4;
+    std::erase_if(peers, [&](const auto& it) { return now - it.second.used >= idle_limit; });
+    open_peers.store(peers.size());
 }
 
 void peer_transport::state::receive_all()
@@ -163,12 +187,13 @@
         }
         receive_all();
         send_all();
+        close_idle_peers(boot_clock::now());
     }
     send_all();
 }
 
-peer_transport::peer_transport(endpoint listen, message_handler on_message)
-    : state_(std::make_unique<state>(std::move(listen), std::move(on_message)))
+peer_transport::peer_transport(endpoint listen, message_handler on_message, duration idle_limit)
+    : state_(std::make_unique<state>(std::move(listen), std::move(on_message), idle_limit))
 {
     state_->thread = std::jthread{[it = state_.get()](std::stop_token stop) {
         it->run(stop);
@@ -194,9 +219,9 @@
 
 peer_transport::counters peer_transport::totals() const
 {
-    return counters{state_->sent_messages.load(), state_->sent_bytes.load(),
+    return counters{state_->sent_messages.load(),     state_->sent_bytes.load(),
                     state_->received_messages.load(), state_->received_bytes.load(),
-                    state_->dropped_messages.load()};
+                    state_->dropped_messages.load(),  state_->open_peers.load()};
 }
 
 } // namespace ebonywick
--- a/src/libs/transport/peertransport.h
+++ b/src/libs/transport/peertransport.h
@@ -2,6 +2,7 @@
 // messages and a DEALER for each peer.
 #pragma once
 
+#include "base/clock.h"
 #include "base/identifiers.h"
 #include "settings/declaration.h"
 
@@ -13,6 +14,11 @@
 
 namespace ebonywick {
 
+/// A connection without messages for this time is closed. ZMTP heartbeats keep
+/// it open otherwise, and a host that once sent to all others would pay for them
+/// twice a second for each connection.
+inline constexpr duration peer_idle_limit = std::chrono::seconds{10};
+
 /// Called on the I/O thread with the bytes of one message; must not block.
 using message_handler = std::function<void(std::string_view bytes)>;
 
@@ -21,7 +27,8 @@
 {
 public:
     /// Binds `listen`. Fails with std::system_error if the address is taken.
-    peer_transport(endpoint listen, message_handler on_message);
+    peer_transport(endpoint listen, message_handler on_message,
+                   duration idle_limit = peer_idle_limit);
     ~peer_transport();
     peer_transport(const peer_transport&) = delete;
     peer_transport& operator=(const peer_transport&) = delete;
@@ -36,6 +43,8 @@
         std::uint64_t received_messages = 0;
         std::uint64_t received_bytes = 0;
         std::uint64_t dropped_messages = 0;
+        /// Connections to peers that are open now.
+        std::uint64_t open_peers = 0;
     };
     [[nodiscard]] counters totals() const;
 
--- a/tests/auto/transport/tst_peertransport.cpp
+++ b/tests/auto/transport/tst_peertransport.cpp
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <string>
 #include <system_error>
+#include <thread>
 #include <vector>
 
 using namespace ebonywick;
@@ -74,6 +75,29 @@
     cr_assert(refused);
 }
 
+// Failure: a host keeps a connection, and its ZMTP heartbeats, to every host that
+// it ever sent a message to; or a peer that was closed cannot be reached again.
+Test(peer_transport, idle_connection_is_closed_and_opened_again)
+{
+    inbox received;
+    peer_transport receiver{endpoint{"127.0.0.1", 25104}, [&](std::string_view bytes) {
+                                received.add(bytes);
+                            }};
+    peer_transport sender{endpoint{"127.0.0.1", 25105}, [](std::string_view) {}, 200ms};
+    const auto closes = [&] {
+        const auto end = std::chrono::steady_clock::now() + 20s;
+        while (sender.totals().open_peers != 0 && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(10ms);
+        return sender.totals().open_peers == 0;
+    };
+    sender.send(endpoint{"127.0.0.1", 25104}, "first");
+    cr_assert_eq(received.wait_for(1).size(), 1U);
+    cr_assert(closes());
+    sender.send(endpoint{"127.0.0.1", 25104}, "second");
+    cr_assert_eq(received.wait_for(2).size(), 2U);
+    cr_assert(closes());
+}
+
 // Failure: a call that waited in a queue during an outage runs long after its
 // entry host gave it up.
 Test(message_age, delay_beyond_the_fastest_message_counts)
