node: a call must also end before the fences that its claim rests on

Cause: a host that took a searcher over checked only its own lease before a call; the former holder could get its lease back when the fences had expired, while that call still ran (found by the mutant FENCE_NOT_COVERED of model/responsibility.pml). Change: the agent tells when the fences of a claim end, and the check right before the write uses them per searcher.

--- a/src/libs/membership/membershipagent.cpp
+++ b/src/libs/membership/membershipagent.cpp
@@ -119,7 +119,7 @@
             if (!subjects.contains(subject))
                 unconfirmed_subjects.erase(subject);
     }
-    place_searchers(tables, hosts, config);
+    place_searchers(tables, config);
     claims.set_placement(tables, {!ever_settled, settled});
     settled = false;
     const std::set<host_id> relevant = claims.relevant_hosts();
@@ -287,6 +287,11 @@
     return state_->tracker.current_until();
 }
 
+time_point membership_agent::fences_until(const searcher_id& searcher) const
+{
+    return state_->claims.fences_until(searcher);
+}
+
 bool membership_agent::holds(const searcher_id& searcher, time_point now) const
 {
     return now < lease_until() && now < current_until() && state_->claims.holds(searcher, now);
--- a/src/libs/membership/membershipagent.h
+++ b/src/libs/membership/membershipagent.h
@@ -217,6 +217,9 @@
     /// Until when this host counts as current if nothing more is heard.
     [[nodiscard]] time_point current_until() const;
     [[nodiscard]] bool holds(const searcher_id& searcher, time_point now) const;
+    /// When the fences end that holding the searcher rests on: a call must end
+    /// before. time_point::min() if the searcher is not held.
+    [[nodiscard]] time_point fences_until(const searcher_id& searcher) const;
     /// The host that should hold the searcher, as far as is known; empty: none.
     [[nodiscard]] host_id holder_of(const searcher_id& searcher) const;
     [[nodiscard]] host_status status_of(const host_id& host) const;
--- a/src/libs/membership/responsibility.cpp
+++ b/src/libs/membership/responsibility.cpp
@@ -149,9 +149,14 @@
 }
 
 bool responsibility::holds(const searcher_id& searcher, time_point now) const
+{
+    return now < fences_until(searcher);
+}
+
+time_point responsibility::fences_until(const searcher_id& searcher) const
 {
     const auto it = held_.find(searcher);
-    return it != held_.end() && now < it->second;
+    return it == held_.end() ? time_point::min() : it->second;
 }
 
 host_id responsibility::holder_of(const placement& tables, const searcher_id& searcher,
--- a/src/libs/membership/responsibility.h
+++ b/src/libs/membership/responsibility.h
@@ -52,6 +52,8 @@
 
     /// Only the fences are considered; the caller checks lease and currency.
     [[nodiscard]] bool holds(const searcher_id& searcher, time_point now) const;
+    /// When the fences for a held searcher end; time_point::min() if not held.
+    [[nodiscard]] time_point fences_until(const searcher_id& searcher) const;
     [[nodiscard]] host_id holder_of(const placement& tables, const searcher_id& searcher,
                                     const status_function& status_of) const;
     /// Next serving hosts for the searchers that `absent` would hold.
--- a/src/libs/node/controlplane.cpp
+++ b/src/libs/node/controlplane.cpp
@@ -13,7 +13,9 @@
 #include <ctime>
 #include <mutex>
 #include <optional>
+#include <shared_mutex>
 #include <thread>
+#include <unordered_map>
 #include <utility>
 
 namespace ebonywick {
@@ -94,6 +96,7 @@
     void execute(const host_changed& action);
     void execute(const currency_changed& action);
     void publish_view();
+    void refresh_fences();
 
     void receive(std::string_view bytes);
     void run_ticks(const std::stop_token& stop);
@@ -124,6 +127,11 @@
     std::atomic<std::int64_t> lease_until{0};
     std::atomic<std::int64_t> current_until{0};
 
+    mutable std::shared_mutex fences_mutex;
+    // Guarded by fences_mutex: held searchers and the end of the fences that each
+    // claim rests on. May lag behind a renewal, never behind a loss.
+    std::unordered_map<searcher_id, time_point> fences_until;
+
     std::optional<peer_transport> transport;
     std::optional<store_sync> sync;
     std::jthread ticker;
@@ -143,6 +151,8 @@
 {
     for (const membership_action& it : agent.handle(ev, now))
         execute(it, now);
+    if (std::holds_alternative<membership_tick>(ev))
+        refresh_fences();
     lease_until.store(agent.lease_until().time_since_epoch().count());
     current_until.store(agent.current_until().time_since_epoch().count());
     if (view_changed) {
@@ -151,6 +161,13 @@
     }
 }
 
+void control_plane::state::refresh_fences()
+{
+    const std::unique_lock lock{fences_mutex};
+    for (auto& [searcher, until] : fences_until)
+        until = agent.fences_until(searcher);
+}
+
 void control_plane::state::execute(const membership_action& action, time_point /*now*/)
 {
     std::visit([this](const auto& it) { execute(it); }, action);
@@ -194,6 +211,10 @@
                {"decision", "hold"},
                {"reason", std::string_view{action.reason}}});
     view_changed = true;
+    {
+        const std::unique_lock lock{fences_mutex};
+        fences_until[action.searcher] = agent.fences_until(action.searcher);
+    }
     handlers.on_responsibility(action.searcher, true);
 }
 
@@ -205,6 +226,10 @@
                {"decision", "give_up"},
                {"reason", std::string_view{action.reason}}});
     view_changed = true;
+    {
+        const std::unique_lock lock{fences_mutex};
+        fences_until.erase(action.searcher);
+    }
     handlers.on_responsibility(action.searcher, false);
 }
 
@@ -370,9 +395,13 @@
     return now.time_since_epoch().count() < state_->current_until.load();
 }
 
-bool control_plane::may_act(time_point now, time_point until) const
+bool control_plane::may_act(const searcher_id& searcher, time_point now, time_point until) const
 {
-    return is_current(now) && until.time_since_epoch().count() < state_->lease_until.load();
+    if (!is_current(now) || until.time_since_epoch().count() >= state_->lease_until.load())
+        return false;
+    const std::shared_lock lock{state_->fences_mutex};
+    const auto it = state_->fences_until.find(searcher);
+    return it != state_->fences_until.end() && until < it->second;
 }
 
 std::vector<known_host> control_plane::hosts() const
--- a/src/libs/node/controlplane.h
+++ b/src/libs/node/controlplane.h
@@ -51,9 +51,10 @@
     [[nodiscard]] fleet_view_ptr view() const;
     /// True while the configuration counts as current.
     [[nodiscard]] bool is_current(time_point now) const;
-    /// True if this host may act as holder up to `until`; checked right before
-    /// use, without a lock.
-    [[nodiscard]] bool may_act(time_point now, time_point until) const;
+    /// True if this host may act as holder of the searcher up to `until`: its
+    /// lease and the fences that the claim rests on cover that time. Checked right
+    /// before use.
+    [[nodiscard]] bool may_act(const searcher_id& searcher, time_point now, time_point until) const;
     [[nodiscard]] std::vector<known_host> hosts() const;
     [[nodiscard]] host_status status_of(const host_id& host) const;
     [[nodiscard]] std::vector<searcher_id> held() const;
--- a/src/libs/node/gatesupervisor.cpp
+++ b/src/libs/node/gatesupervisor.cpp
@@ -274,9 +274,9 @@
         if (const gate_ptr it = weak.lock())
             feed(it, opened);
     };
-    link.may_send = [this](duration timeout) {
+    link.may_send = [this, searcher = g.declaration.id](duration timeout) {
         const time_point now = boot_clock::now();
-        return handlers.may_act(now, now + timeout);
+        return handlers.may_act(searcher, now, now + timeout);
     };
     execute(g, close_link{action.link});
     g.links.emplace(action.link, links.open(action.link, g.declaration.address, std::move(link)));
--- a/src/libs/node/gatesupervisor.h
+++ b/src/libs/node/gatesupervisor.h
@@ -37,8 +37,8 @@
 
 struct gate_handlers
 {
-    /// True if this host may start a call that ends by `until`.
-    std::function<bool(time_point now, time_point until)> may_act;
+    /// True if this host may start a call at the searcher that ends by `until`.
+    std::function<bool(const searcher_id&, time_point now, time_point until)> may_act;
     std::function<void(call_reply, const call_origin&)> reply;
 };
 
--- a/src/libs/node/node.cpp
+++ b/src/libs/node/node.cpp
@@ -95,8 +95,8 @@
     gate_handlers gate_events()
     {
         gate_handlers out;
-        out.may_act = [this](time_point now, time_point until) {
-            return control.may_act(now, until);
+        out.may_act = [this](const searcher_id& searcher, time_point now, time_point until) {
+            return control.may_act(searcher, now, until);
         };
         out.reply = [this](call_reply reply, const call_origin& origin) {
             router.reply(std::move(reply), origin);
--- a/tests/standins/shardedstate/main.cpp
+++ b/tests/standins/shardedstate/main.cpp
@@ -209,7 +209,7 @@
     gate_handlers handlers()
     {
         gate_handlers out;
-        out.may_act = [](time_point, time_point) {
+        out.may_act = [](const searcher_id&, time_point, time_point) {
             return true;
         };
         out.reply = [this](const call_reply& reply, const call_origin&) {
