membership: hash each host once when ranking candidates

Change: host_ranking hashes each id once and mixes two hashes to a weight; candidates are indices from the start. The hold-off test no longer asks a monitor about itself when the monitor is the first host, because such a request sends no message; the changed placement met that case.

--- a/src/libs/membership/placement.h
+++ b/src/libs/membership/placement.h
@@ -22,6 +22,7 @@
 {
     /// Ids in the order of the roster.
     std::vector<host_id> hosts;
+    host_ranking ranking;
     std::map<host_id, std::vector<host_id>> monitors;
     /// Hosts that this host monitors.
     std::vector<host_id> subjects;
@@ -35,7 +36,7 @@
 /// Tables that depend on the roster only.
 void place_hosts(placement& tables, const roster& hosts, const host_id& self);
 /// Candidates of all searchers. A searcher in several shard maps of its service
-/// takes its place from the map of the newest epoch.
-void place_searchers(placement& tables, const roster& hosts, const configuration& config);
+/// takes its place from the map of the newest epoch. Uses the ranking of place_hosts().
+void place_searchers(placement& tables, const configuration& config);
 
 } // namespace ebonywick
--- a/src/libs/membership/rendezvous.cpp
+++ b/src/libs/membership/rendezvous.cpp
@@ -13,52 +13,75 @@
 
 using weighted = std::pair<std::uint64_t, const host_id*>;
 
-/// The first `count` hosts in rendezvous order for `key`. Equal weights are
-/// ordered by id, so that the order is the same on every host.
-std::vector<const host_id*> ranked(const roster& hosts, const std::string& key, std::size_t count)
+/// Finalizer of SplitMix64: each input bit changes each output bit with a
+/// probability near one half.
+std::uint64_t mix(std::uint64_t it)
 {
-    // rendezvous_weight() with the hash of the key taken once.
-    const std::uint64_t seed = stable_hash(key);
-    std::vector<weighted> buf;
-    buf.reserve(hosts.hosts.size());
+    it = (it ^ (it >> 30U)) * 0xbf58476d1ce4e5b9U;
+    it = (it ^ (it >> 27U)) * 0x94d049bb133111ebU;
+    return it ^ (it >> 31U);
+}
+
+} // namespace
+
+host_ranking::host_ranking(const roster& hosts)
+{
+    hashes_.reserve(hosts.hosts.size());
     for (const roster_host& host : hosts.hosts)
-        buf.emplace_back(stable_hash(host.id.value(), seed), &host.id);
+        hashes_.push_back(stable_hash(host.id.value()));
+}
+
+std::vector<std::uint32_t> host_ranking::best(const std::string& key, std::size_t count) const
+{
+    using place = std::pair<std::uint64_t, std::uint32_t>;
+    // The seed separates the key from a host of the same name.
+    const std::uint64_t seed = stable_hash(key, 1);
+    std::vector<place> buf;
+    buf.reserve(hashes_.size());
+    for (std::uint32_t it = 0; it < hashes_.size(); ++it)
+        buf.emplace_back(mix(hashes_[it] ^ seed), it);
     const std::size_t n = std::min(count, buf.size());
+    // Equal weights are ordered by id, as the roster is.
     std::partial_sort(buf.begin(), buf.begin() + static_cast<std::ptrdiff_t>(n), buf.end(),
-                      [](const weighted& a, const weighted& b) {
-                          return a.first != b.first ? a.first > b.first : *a.second < *b.second;
+                      [](const place& a, const place& b) {
+                          return a.first != b.first ? a.first > b.first : a.second < b.second;
                       });
-    std::vector<const host_id*> order;
+    std::vector<std::uint32_t> order;
     order.reserve(n);
     for (std::size_t it = 0; it < n; ++it)
         order.push_back(buf[it].second);
     return order;
 }
 
-} // namespace
-
 std::vector<host_id> monitors_of(const roster& hosts, const host_id& host)
+{
+    return monitors_of(hosts, host_ranking{hosts}, host);
+}
+
+std::vector<host_id> monitors_of(const roster& hosts, const host_ranking& ranking,
+                                 const host_id& host)
 {
     const bool self_counts = hosts.hosts.size() <= monitor_count;
     std::vector<host_id> monitors;
-    for (const host_id* it : ranked(hosts, host.value(), monitor_count + 1)) {
-        if (*it == host && !self_counts)
+    for (const std::uint32_t it : ranking.best(host.value(), monitor_count + 1)) {
+        const host_id& id = hosts.hosts[it].id;
+        if (id == host && !self_counts)
             continue;
         if (monitors.size() < monitor_count)
-            monitors.push_back(*it);
+            monitors.push_back(id);
     }
     return monitors;
 }
 
 std::vector<host_id> neighbours_of(const roster& hosts, const host_id& host)
 {
-    std::vector<std::pair<std::uint64_t, const host_id*>> ring;
+    std::vector<weighted> ring;
     for (const roster_host& it : hosts.hosts)
         ring.emplace_back(stable_hash(it.id.value()), &it.id);
     std::sort(ring.begin(), ring.end(), [](const weighted& a, const weighted& b) {
         return a.first != b.first ? a.first < b.first : *a.second < *b.second;
     });
-    const std::pair<std::uint64_t, const host_id*> own{stable_hash(host.value()), &host};
+    const weighted own{stable_hash(host.value()), &host};
     const auto pos =
         std::lower_bound(ring.begin(), ring.end(), own, [](const weighted& a, const weighted& b) {
             return a.first != b.first ? a.first < b.first : *a.second < *b.second;
@@ -73,27 +96,39 @@
     return neighbours;
 }
 
-std::map<searcher_id, std::vector<host_id>>
-holder_candidates(const roster& hosts, const shard_declaration& shard, std::size_t limit)
+std::vector<std::vector<std::uint32_t>>
+candidate_places(const host_ranking& ranking, const shard_declaration& shard, std::size_t limit)
 {
-    std::map<searcher_id, std::vector<host_id>> candidates;
-    std::vector<host_id> firsts;
-    const std::size_t n = hosts.hosts.size();
+    std::vector<std::vector<std::uint32_t>> candidates;
+    std::vector<std::uint32_t> firsts;
+    const std::size_t n = ranking.size();
     for (const searcher_declaration& replica : shard.replicas) {
         const std::size_t wanted = limit >= n ? n : std::min(n, limit + firsts.size());
-        std::vector<host_id> order;
-        std::vector<host_id> moved;
-        for (const host_id* it : ranked(hosts, replica.id.value(), wanted)) {
-            const bool taken = std::find(firsts.begin(), firsts.end(), *it) != firsts.end();
-            (taken ? moved : order).push_back(*it);
-        }
-        if (wanted == n)
-            order.insert(order.end(), moved.begin(), moved.end());
+        std::vector<std::uint32_t> order = ranking.best(replica.id.value(), wanted);
+        const auto moved = std::stable_partition(order.begin(), order.end(), [&](auto it) {
+            return std::find(firsts.begin(), firsts.end(), it) == firsts.end();
+        });
+        if (wanted < n)
+            order.erase(moved, order.end());
         if (order.size() > limit)
             order.resize(limit);
         if (!order.empty())
             firsts.push_back(order.front());
-        candidates.emplace(replica.id, std::move(order));
+        candidates.push_back(std::move(order));
+    }
+    return candidates;
+}
+
+std::map<searcher_id, std::vector<host_id>>
+holder_candidates(const roster& hosts, const shard_declaration& shard, std::size_t limit)
+{
+    std::map<searcher_id, std::vector<host_id>> candidates;
+    const auto places = candidate_places(host_ranking{hosts}, shard, limit);
+    for (std::size_t replica = 0; replica < places.size(); ++replica) {
+        std::vector<host_id> order;
+        for (const std::uint32_t it : places[replica])
+            order.push_back(hosts.hosts[it].id);
+        candidates.emplace(shard.replicas[replica].id, std::move(order));
     }
     return candidates;
 }
--- a/tests/auto/membership/tst_membershipagent.cpp
+++ b/tests/auto/membership/tst_membershipagent.cpp
@@ -237,7 +237,9 @@
             fleet.run(100ms);
             if (fleet.is_current(monitor))
                 since = std::min(since, fleet.now - 100ms);
-            const fence_request request{agent_fleet::name(0), subject, 1};
+            // A host's requests to itself are answered inside the agent.
+            const host_id requester = agent_fleet::name(monitor == agent_fleet::name(0) ? 1 : 0);
+            const fence_request request{requester, subject, 1};
             for (const auto& action :
                  fleet.members[monitor].agent->handle(message_received{request}, fleet.now))
                 if (const auto* sent = std::get_if<send_control>(&action))
@@ -258,7 +260,7 @@
     const object_learned& hosts = fleet.history.at({object_kind::roster, 1});
     placement tables;
     place_hosts(tables, hosts.hosts, agent_fleet::name(7));
-    place_searchers(tables, hosts.hosts, config.config);
+    place_searchers(tables, config.config);
     responsibility claims{agent_fleet::name(7)};
     claims.set_placement(tables, {true, false});
     claims.settle();
