--- a/src/libs/query/queryattempts.cpp
+++ b/src/libs/query/queryattempts.cpp
@@ -105,9 +105,11 @@
     std::optional<replica_choice> choice = choose(shard, true);
     // With two replicas the second hedge goes to one that runs the call already: a single
     // slow call says little about its searcher.
-    if (!choice && shards[shard].hedges > 0)
+    const bool second = shards[shard].hedges > 0;
+    if (!choice && second)
         choice = choose(shard, false);
-    if (!choice || selector.is_cold(choice->searcher) || !budget.try_take())
+    if (!choice || selector.is_cold(choice->searcher) ||
+        !(second ? budget.try_take_spare() : budget.try_take()))
         return;
     send(shard, std::move(*choice), true, now);
 }
--- a/src/libs/query/retrybudget.h
+++ b/src/libs/query/retrybudget.h
@@ -32,6 +32,10 @@
         return true;
     }
 
+    /// For a second hedge of the same shard: takes a token only while at least half of
+    /// the burst is left, so that it never costs another shard its first hedge.
+    [[nodiscard]] bool try_take_spare() { return tokens_ >= burst_ / 2 && try_take(); }
+
     [[nodiscard]] bool try_take_reserve()
     {
         if (reserve_ < 1.0)
--- a/tests/auto/query/tst_querycoordinator.cpp
+++ b/tests/auto/query/tst_querycoordinator.cpp
@@ -132,6 +132,20 @@
     cr_assert_eq(f.cancels.size(), 2U);
 }
 
+// Failure: after a fault that silences many links, second hedges use up the budget and
+// other shards wait for the silence limit.
+Test(query_coordinator, second_hedge_needs_half_of_the_burst)
+{
+    query_fixture f{1, 2, 0.0, 20.0};
+    for (int it = 0; it < 10; ++it)
+        cr_assert(f.budget.try_take());
+    f.report_all({5});
+    f.learn_latency();
+    f.start();
+    f.pass(3 * f.selector.hedge_delay());
+    cr_assert_eq(f.history.size(), 2U);
+}
+
 // Failure: a pause of the host makes all calls late, and their hedges empty the budget
 // that stragglers need afterwards; or the calls are never hedged.
 Test(query_coordinator, hedges_are_postponed_once_while_many_shards_are_late)
