history: match each accepted change with a write of its own

Change: each change told accepted must have a store write of its own, made while the operator waited and at most at the version told; writes that are left over are violations as before.

--- a/src/libs/history/record.h
+++ b/src/libs/history/record.h
@@ -114,7 +114,11 @@
 struct operator_change
 {
     change_result told = change_result::unknown;
+    // A stored version that contains the change; after a lost reply it may be a
+    // later one than the change's own.
     std::optional<std::uint64_t> version;
+    // When the operator began.
+    timestamp start = 0;
 
     auto operator<=>(const operator_change&) const = default;
 };
--- a/src/libs/history/recordreader.cpp
+++ b/src/libs/history/recordreader.cpp
@@ -121,7 +121,7 @@
     const auto found = results.find(told);
     if (found == results.end())
         throw field_failure{line_problem::unknown_value, "told " + told};
-    operator_change out{found->second, std::nullopt};
+    operator_change out{found->second, std::nullopt, get<timestamp>(line, "start")};
     if (line.contains("version"))
         out.version = get<number>(line, "version");
     else if (out.told == change_result::accepted)
