node: ready only when a second witness is appointed

Cause: one of two quickstart runs failed with configuration_unconfirmed: a fleet that starts from nothing has one witness, and while the second one is appointed no host is current until its first token has come (0.3 to 0.6 s in the logs). Ruled out: late heartbeats, since the loss began with the new roster on all three hosts. Change: /readyz waits for two witnesses, or one in a fleet of one. A grace period in the currency rule was weighed and left out, because it would need a longer witness change to stay safe.

--- a/src/libs/node/httpfrontend.cpp
+++ b/src/libs/node/httpfrontend.cpp
@@ -11,6 +11,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <mutex>
 #include <optional>
 #include <random>
@@ -110,6 +111,7 @@
     void serve_pushed_object(const httplib::Request& request, httplib::Response& response);
     void serve_known_object(const httplib::Request& request, httplib::Response& response);
     std::optional<not_run> refusal(time_point now) const;
+    bool is_ready() const;
     void record(const caller_request& request, const request_summary& summary, time_point began);
     void respond(httplib::Response& response, const http_reply& reply) const;
 
@@ -133,6 +135,16 @@
     return std::nullopt;
 }
 
+bool http_frontend::state::is_ready() const
+{
+    if (refusal(boot_clock::now()))
+        return false;
+    // With a single witness the appointment of the second one costs all hosts
+    // their currency until its first token has come.
+    const roster& hosts = parts.control.view()->hosts;
+    return hosts.witnesses.size() >= std::min<std::size_t>(2, hosts.hosts.size());
+}
+
 void http_frontend::state::respond(httplib::Response& response, const http_reply& reply) const
 {
     response.status = reply.status;
@@ -329,7 +341,7 @@
         respond(out, http_reply{200, R"({"alive":true})"});
     });
     server.Get("/readyz", [this](const Request&, Response& out) {
-        const bool ready = !refusal(boot_clock::now());
+        const bool ready = is_ready();
         respond(out,
                 http_reply{ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})"});
     });
