membership: copies of spreading news count as retransmissions

Change: a copy that arrives while the news still spreads is counted like a send of this host. The new test turns red without the counting.

--- a/src/libs/membership/gossip.cpp
+++ b/src/libs/membership/gossip.cpp
@@ -77,7 +77,13 @@
         return false;
     }
     const auto it = members_.find(update.host);
-    if (it == members_.end() || !is_newer(update, it->second.update))
+    if (it == members_.end())
+        return false;
+    record& known = it->second;
+    // Others spread it too.
+    if (known.sends_left > 0 && update == known.update && --known.sends_left == 0)
+        spreading_.erase(update.host);
+    if (!is_newer(update, known.update))
         return false;
     it->second = record{update, retransmissions()};
     spreading_.insert(update.host);
--- a/src/libs/membership/gossip.h
+++ b/src/libs/membership/gossip.h
@@ -18,6 +18,9 @@
 inline constexpr std::size_t max_updates = 6;
 
 /// Member table with bounded retransmission of news. Not thread-safe.
+///
+/// A copy that arrives while news still spreads counts as one retransmission;
+/// without this, the start of a fleet fills all messages with news that is known.
 class member_gossip
 {
 public:
--- a/tests/auto/membership/tst_membershipagent.cpp
+++ b/tests/auto/membership/tst_membershipagent.cpp
@@ -1,6 +1,7 @@
 // Guards the rules of leases, currency and responsibility between several hosts.
 #include "agentfleet.h"
 
+#include "membership/gossip.h"
 #include "membership/rendezvous.h"
 #include "membership/responsibility.h"
 
@@ -271,6 +272,24 @@
     cr_assert_geq(wanted.size(), 8);
 }
 
+// Failure: news that the other hosts know already goes on filling the messages.
+Test(member_gossip, copies_end_the_spread)
+{
+    member_gossip gossip{agent_fleet::name(0), 1};
+    roster hosts;
+    for (std::size_t it = 0; it < 7; ++it)
+        hosts.hosts.push_back(roster_host{agent_fleet::name(it), {}, {}, {}, {}});
+    gossip.set_roster(hosts);
+    const member_update update{agent_fleet::name(1), 5, 1, host_status::serving};
+    cr_assert(gossip.apply(update));
+    cr_assert_eq(gossip.updates_for(agent_fleet::name(2), false, 0).size(), 1);
+    // 9 sends in all for 6 others; one is done.
+    for (int copy = 0; copy < 7; ++copy)
+        cr_assert_not(gossip.apply(update));
+    cr_assert_eq(gossip.updates_for(agent_fleet::name(2), false, 0).size(), 1);
+    cr_assert(gossip.updates_for(agent_fleet::name(2), false, 0).empty());
+}
+
 // Failure: the cost of one host grows with the fleet.
 Test(membership_agent, messages_per_host_are_bounded)
 {
