controlcost: a settled fleet knows all of its hosts as serving

Cause: the tool asked each host only for its own state, so that a loss of news would have looked like a shorter start. Change: every agent is asked for the state of every host. Conclusion: the end of the start means that all news has arrived.

--- a/src/tools/controlcost/controlfleet.cpp
+++ b/src/tools/controlcost/controlfleet.cpp
@@ -178,9 +178,10 @@
 {
     if (figures_.fence_messages > 0 || figures_.news > 0)
         return false;
-    for (std::size_t it = 0; it < size_; ++it)
-        if (agents_[it]->status_of(ids_[it]) != host_status::serving)
-            return false;
+    for (const auto& agent : agents_)
+        for (std::size_t it = 0; it < size_; ++it)
+            if (agent->status_of(ids_[it]) != host_status::serving)
+                return false;
     std::size_t held = 0;
     for (const searcher_id& searcher : searchers_) {
         std::size_t holders = 0;
--- a/src/tools/controlcost/controlfleet.h
+++ b/src/tools/controlcost/controlfleet.h
@@ -40,7 +40,7 @@
     /// Creates the agents and gives them configuration and roster.
     void start();
     void run(duration length);
-    /// Every host serves, every searcher has one holder, and since the
+    /// Every host knows that all serve, every searcher has one holder, and since the
     /// last `reset_figures` no host asked for a fence or sent news.
     [[nodiscard]] bool settled() const;
     /// Mean processor time for one agent to take a new version in, in
