bench: cold with warm baseline, detection time and ports that cannot overlap

The separate limits collapsed the searchers before they were ever warm and answered nothing, so both variants now start with warm searchers.

--- a/scripts/support/bench_control.py
+++ b/scripts/support/bench_control.py
@@ -4,6 +4,7 @@
 returns the figures of section 11 of docs/design.md. Absolute times depend on
 what else the machine does; the load average is part of each result.
 """
+import datetime
 import http.client
 import json
 import os
@@ -36,9 +37,10 @@
             "load_average": round(os.getloadavg()[0], 1)}
 
 
-def new_fleet(ports_after=0):
-    """A fleet whose folder of logs and records is named on standard error."""
-    fleet = Fleet(base_port=BASE_PORT + ports_after)
+def new_fleet(after=None):
+    """A fleet whose folder of logs and records is named on standard error. Its ports
+    follow those of the fleet `after`, which may not have bound all of them yet."""
+    fleet = Fleet(base_port=after.next_port if after else BASE_PORT)
     print(f"fleet in {fleet.folder}", file=sys.stderr)
     return fleet
 
@@ -290,8 +292,8 @@
 def independent_fleets(count, searchers):
     """Fleets of one node, each with a store of its own, on the searchers of another fleet."""
     fleets = []
-    for number in range(count):
-        fleet = new_fleet(300 + 10 * number)
+    for _ in range(count):
+        fleet = new_fleet(after=fleets[-1] if fleets else searchers)
         fleet.domains = searchers.domains
         fleet.services = searchers.services
         fleet.presets = searchers.presets
@@ -304,6 +306,18 @@
     return fleets
 
 
+def limit_drop_ms(fleet, searcher, since):
+    """Time from `since` (wall clock) until a gate of the fleet lowered the searcher's
+    limit to 1, from the logs; None if it did not."""
+    times = []
+    for path in fleet.folder.glob("entry-*.log"):
+        for line in path.read_text().splitlines():
+            if f"event=limit_changed searcher={searcher} limit=1 " in line:
+                at = datetime.datetime.fromisoformat(line.split()[0].removeprefix("time="))
+                times.append(at.timestamp() - since)
+    return min((round(1000 * it) for it in times if it >= 0), default=None)
+
+
 def turn_cold(fleet, searcher, reported):
     """Turns a searcher cold under load and returns its statistics from the moment
     on at which the fleet can know: after its first reply or health report that
@@ -313,6 +327,7 @@
 
     fleet.searcher_admin(searcher=searcher, reset_stats=True)
     fleet.searcher_admin(searcher=searcher, reports_cold=reported)
+    turned = time.time()
     fleet.searcher_admin(searcher=searcher, cold=True)
     replies = stats()["completed"] + (1 if reported else 3)
     # Health is polled every 500 ms.
@@ -321,8 +336,8 @@
         time.sleep(0.005)
     time.sleep(0.05)
     fleet.searcher_admin(searcher=searcher, reset_stats=True)
-    time.sleep(2.5)
-    return stats()
+    time.sleep(2.0)
+    return {**stats(), "limit_drop_ms": limit_drop_ms(fleet, searcher, turned)}
 
 
 def bench_cold():
@@ -345,9 +360,10 @@
             for variant, fleets in (("separate", single), ("ebonywick", [fleet])):
                 # About 80 % of 48 slots at 20 ms, four calls a query.
                 rate = 450 / len(fleets)
-                loads = [Load(it, 13, rate=rate, connections=64 // len(fleets) + 8, name=variant)
+                fleet.searcher_admin(cold=False)
+                loads = [Load(it, 12, rate=rate, connections=64 // len(fleets) + 8, name=variant)
                          for it in fleets]
-                time.sleep(5)  # the gates ramp up
+                time.sleep(4)  # the gates ramp up
                 found[variant] = {"said": turn_cold(fleet, "s0-r0", True),
                                   "slow": turn_cold(fleet, "s1-r0", False)}
                 reports[variant] = [it.report() for it in loads]
@@ -364,12 +380,16 @@
     (report,) = reports["ebonywick"]
     return result("cold", max(most["separate"].values()), max(most["ebonywick"].values()),
                   cold_limit=cold_limit, most_at_once=most, hosts_sending=hosts,
+                  limit_drop_ms={case: stats["limit_drop_ms"]
+                                 for case, stats in found["ebonywick"].items()},
                   cold_calls={variant: {case: stats["started"] for case, stats in cases.items()}
                               for variant, cases in found.items()},
                   collapses={variant: {case: stats["collapses"] for case, stats in cases.items()}
                              for variant, cases in found.items()},
                   p99_ms=report["latency_ms"]["p99"],
                   p99_separate_ms=max(it["latency_ms"]["p99"] for it in reports["separate"]),
+                  answered_separate=sum(it["answered"] for it in reports["separate"]),
+                  sent_separate=sum(it["sent"] for it in reports["separate"]),
                   **summary(report))
 
 
@@ -552,7 +572,7 @@
     begin = time.monotonic()
     try:
         for size in sizes:
-            fleets[size] = new_fleet(12 * size)
+            fleets[size] = new_fleet(after=next(reversed(fleets.values()), None))
             fleets[size].start(nodes=size, shards=size * searchers_per_node // 3, replicas=3,
                                searcher_arguments=("--warm",))
             fleets[size].apply()
