transport: lint findings of the socket thread

Widening in the size limit, a stop token passed by value, and a destructor that could throw when the wake-up message fails; the thread then wakes up by itself.

--- a/src/libs/transport/peertransport.cpp
+++ b/src/libs/transport/peertransport.cpp
@@ -28,7 +28,7 @@
 constexpr int reconnect_ms = 100;
 constexpr int reconnect_max_ms = 1000;
 // Largest message: a store object of 1 MB and its envelope.
-constexpr std::int64_t largest_message_bytes = 2 * 1024 * 1024;
+constexpr std::int64_t largest_message_bytes = std::int64_t{2} * 1024 * 1024;
 constexpr int idle_poll_ms = 200;
 // A host that exits still sends the release of its lease.
 constexpr int closing_linger_ms = 200;
@@ -195,7 +195,7 @@
 peer_transport::peer_transport(endpoint listen, message_handler on_message, duration idle_limit)
     : state_(std::make_unique<state>(std::move(listen), std::move(on_message), idle_limit))
 {
-    state_->thread = std::jthread{[it = state_.get()](std::stop_token stop) {
+    state_->thread = std::jthread{[it = state_.get()](const std::stop_token& stop) {
         it->run(stop);
     }};
 }
@@ -203,9 +203,11 @@
 peer_transport::~peer_transport()
 {
     state_->thread.request_stop();
-    {
+    try {
         const std::lock_guard lock{state_->mutex};
         state_->wake();
+    } catch (const std::exception&) {
+        // The thread wakes up by itself within idle_poll_ms.
     }
     state_->thread.join();
 }
