--- a/scripts/support/bench_query.py
+++ b/scripts/support/bench_query.py
@@ -277,6 +277,8 @@
     ran = {it.split("-")[0] for it in started}
     refused = [it for it in records if it["outcome"] == "not_run"]
     untrue = [it for it in refused if it["request_id"] in ran]
+    if not any(it["outcome"] == "answered" and it["request_id"] in ran for it in records):
+        raise FleetError("the request ids of callers and searchers do not match")
     unfounded = [it for it in records if it["outcome"] == "answered" and it["key"] not in runs]
     most = max(runs.values())
     return result("orders", 1, most, [report], orders=True,
@@ -295,7 +297,8 @@
                            presets={"ordinary": {"deadline_ms": 500}},
                            node_settings=f"log_level: {level}",
                            searcher_arguments=("--delay-us", 1700, "--threads", 4)) as fleet:
-            stream = {"rate": 239, "connections": 100, "deadline_ms": 1000}
+            # The random arrivals of this seed come 3 % short of their rate.
+            stream = {"rate": 250, "connections": 100, "deadline_ms": 1000}
             run_load(fleet, {**stream, "duration_ms": 1500})
             processes = {it: fleet.processes[it] for it in ("entry-1", "searchers-katalog")}
             calls = calls_sent(fleet)
