--- a/scripts/support/bench_query.py
+++ b/scripts/support/bench_query.py
@@ -128,7 +128,7 @@
         covered = []  # An order goes to one shard.
     return {"name": name, "baseline": baseline, "value": value,
             "ratio": round(value / baseline, 3) if baseline else None,
-            "extra_load": more.pop("extra_load", 0.0),
+            "extra_load": more.pop("extra_load", None),
             "coverage_min": min(covered) if covered else None,
             "wrong": more.pop("wrong", 0) + sum(it["wrong"] for it in reports),
             "sent": sum(it["sent"] for it in reports),
