--- a/src/tools/controlcost/controlfleet.cpp
+++ b/src/tools/controlcost/controlfleet.cpp
@@ -8,7 +8,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <ctime>
 #include <set>
 #include <thread>
@@ -24,9 +23,9 @@
 constexpr std::size_t steps_per_tick = 20;
 constexpr std::size_t searchers_per_host = 7;
 constexpr std::size_t witnesses = 5;
-// Threads that run the agents of one step; each agent stays with its thread, so
-// that the order of its events and all figures but times are the same on each run.
-constexpr std::size_t workers = 4;
+// Agents take in their first objects side by side; only their start is
+// parallel, which is not measured.
+constexpr std::size_t start_threads = 4;
 // Agents whose adoption of a new version is measured.
 constexpr std::size_t adopting_agents = 5;
 
@@ -98,9 +97,9 @@
     agents_.resize(size_);
     std::vector<std::vector<membership_action>> actions(size_);
     std::vector<std::thread> threads;
-    for (std::size_t worker = 0; worker < workers; ++worker)
+    for (std::size_t worker = 0; worker < start_threads; ++worker)
         threads.emplace_back([&, worker] {
-            for (std::size_t it = worker; it < size_; it += workers) {
+            for (std::size_t it = worker; it < size_; it += start_threads) {
                 agents_[it] = std::make_unique<membership_agent>(ids_[it], 100 + it, it, now_);
                 agents_[it]->handle(config, now_);
                 actions[it] = agents_[it]->handle(roster, now_);
@@ -123,31 +122,22 @@
     now_ += step_length;
     std::swap(arriving_, sent_);
     sent_.clear();
+    std::vector<std::pair<std::size_t, std::vector<membership_action>>> actions;
     std::vector<std::pair<std::size_t, membership_event>> events;
     events.reserve(arriving_.size() + size_ / steps_per_tick + 1);
     for (delivery& it : arriving_)
         events.emplace_back(it.to, message_received{std::move(it.message)});
     for (std::size_t it = steps_++ % steps_per_tick; it < size_; it += steps_per_tick)
         events.emplace_back(it, membership_tick{});
-    std::vector<std::vector<membership_action>> actions(events.size());
-    std::array<double, workers> cpu{};
-    std::vector<std::thread> threads;
-    for (std::size_t worker = 0; worker < workers; ++worker)
-        threads.emplace_back([&, worker] {
-            // One reading of the clock for all agents of a step, because a reading
-            // costs about as much as a cheap event.
-            const double before = thread_cpu_s();
-            for (std::size_t it = 0; it < events.size(); ++it)
-                if (events[it].first % workers == worker)
-                    actions[it] = agents_[events[it].first]->handle(events[it].second, now_);
-            cpu[worker] = thread_cpu_s() - before;
-        });
-    for (std::thread& it : threads)
-        it.join();
-    for (const double it : cpu)
-        figures_.agent_cpu_s += it;
-    for (std::size_t it = 0; it < events.size(); ++it)
-        collect(events[it].first, std::move(actions[it]));
+    actions.reserve(events.size());
+    // One reading of the clock for all agents of a step, because a reading costs
+    // about as much as a cheap event.
+    const double before = thread_cpu_s();
+    for (const auto& [to, ev] : events)
+        actions.emplace_back(to, agents_[to]->handle(ev, now_));
+    figures_.agent_cpu_s += thread_cpu_s() - before;
+    for (auto& [from, it] : actions)
+        collect(from, std::move(it));
 }
 
 void control_fleet::collect(std::size_t from, std::vector<membership_action> actions)
