membership: refused fences do not recompute claims

Cause: in the start of a fleet nearly all fence requests are refused, and each refusal recomputed all claims. Change: only a granted fence marks the claims.

--- a/src/libs/membership/agentmessages.cpp
+++ b/src/libs/membership/agentmessages.cpp
@@ -43,6 +43,8 @@
     const std::vector<host_id> monitor_hosts =
         tables.lists(self) ? tables.monitors[self] : monitors_of(hosts, self);
     while (next_slot <= now) {
+        if (slot == 0)
+            announce_leave(now);
         if (slot == 0)
             for (const host_id& witness : tracker.witnesses_to_ask())
                 send_heartbeat(witness, false, now);
@@ -74,6 +76,12 @@
         send_heartbeat(host, false, now);
 }
 
+void membership_agent::state::announce_leave(time_point now)
+{
+    for (const host_id& host : unaware_of_leave)
+        send_heartbeat(host, false, now);
+}
+
 void membership_agent::state::take_update(const member_update& update)
 {
     const host_status former = gossip.status_of(update.host);
@@ -122,6 +130,7 @@
         return;
     const sent_heartbeat sent = it->second;
     pending.erase(it);
+    unaware_of_leave.erase(message.from);
     if (message.incarnation < gossip.incarnation_of(message.from))
         return;
     for (const member_update& update : message.updates)
@@ -159,7 +168,8 @@
 void membership_agent::state::on(const fence_reply& message, time_point)
 {
     fences.note_reply(message);
-    claims_changed = true;
+    // In the start of a fleet nearly all requests are refused.
+    claims_changed = claims_changed || message.granted;
 }
 
 } // namespace ebonywick
