dispatch, membership, control: three rules that the models asked for

Cause: model/leaving.pml fails with TAKEOVER_UNKNOWN (a gate that takes a searcher over starts calls before it knows its state), NO_TRANSIT_TIME (a request sent at the end of a list's validity meets a host that has gone) and LATE_NEWS (gossip has no bound on the time until each host knows of a leave); the code had all three.

--- a/src/libs/control/entrylist.h
+++ b/src/libs/control/entrylist.h
@@ -14,6 +14,9 @@
 
 /// Time for which callers keep the list of entry hosts.
 inline constexpr duration entry_list_validity = std::chrono::milliseconds{5000};
+/// Longest time between a caller's look at its list and the arrival of its request
+/// that a leaving host waits for.
+inline constexpr duration request_transit = std::chrono::milliseconds{1000};
 
 struct entry_host
 {
--- a/src/libs/dispatch/searchergate.cpp
+++ b/src/libs/dispatch/searchergate.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+// A searcher may have left while this host did not hear of it, so a call needs a
+// report of its state that is at most this old; probes renew it every 500 ms.
+constexpr std::chrono::milliseconds state_validity{2500};
 constexpr duration max_attempt = std::chrono::milliseconds{1000};
 // Time that the link has to report after the attempt's deadline.
 constexpr duration slot_grace = std::chrono::milliseconds{50};
@@ -79,6 +82,8 @@
     bool was_unavailable = false;
     // When the searcher last said that it is leaving.
     time_point leaving_since{};
+    // When the searcher last reported its state to this holder; empty: not yet.
+    std::optional<time_point> state_known_at;
     // Moving mean of the call times; zero until the first reply.
     duration mean_call = duration::zero();
 };
@@ -224,6 +229,8 @@
 void searcher_gate::state::observe(reported_state reported, std::uint64_t boot_id, bool from_probe,
                                    time_point now, actions& out)
 {
+    if (reported != reported_state::unknown)
+        state_known_at = now;
     if (reported == reported_state::leaving) {
         leaving_since = now;
         is_leaving = true;
@@ -253,6 +260,7 @@
     }
     links.resume();
     is_leaving = false;
+    state_known_at.reset();
     note(warmth.reset(reason), out);
 }
 
@@ -275,6 +283,10 @@
         reject_queued(out);
     if (!active())
         return;
+    if (!state_known_at || now - *state_known_at > state_validity) {
+        links.ensure(warmth.limit() + 1, false, now, out);
+        return;
+    }
     bool starved = false;
     while (running.size() < warmth.limit() && !queue.empty()) {
         const std::optional<std::uint32_t> link = links.take(now);
--- a/src/libs/membership/agentstate.h
+++ b/src/libs/membership/agentstate.h
@@ -49,6 +49,8 @@
                         const host_id* about = nullptr);
     void send_due_heartbeats(time_point now);
     void announce_to_neighbours(time_point now);
+    /// Tells the leave to each host that has not confirmed it.
+    void announce_leave(time_point now);
 
     // Monitor side.
     void observe(time_point now);
@@ -117,6 +119,8 @@
         bool wants_lease = false;
     };
     std::map<std::uint64_t, sent_heartbeat> pending;
+    // Hosts that have not answered a heartbeat since this host began to leave.
+    std::set<host_id> unaware_of_leave;
     std::uint64_t sequence = 0;
     time_point next_slot;
     std::size_t slot = 0;
--- a/src/libs/membership/membershipagent.cpp
+++ b/src/libs/membership/membershipagent.cpp
@@ -190,7 +190,13 @@
         return;
     gossip.announce(host_status::leaving);
     actions.emplace_back(host_changed{self, host_status::leaving});
-    announce_to_neighbours(now);
+    // Gossip alone has no bound on the time until each host has the news, and a
+    // host without it goes on naming this one to callers.
+    for (const host_id& host : tables.hosts) {
+        if (host != self)
+            unaware_of_leave.insert(host);
+    }
+    announce_leave(now);
 }
 
 void membership_agent::state::release(time_point now)
--- a/tests/auto/dispatch/gatefixture.h
+++ b/tests/auto/dispatch/gatefixture.h
@@ -60,6 +60,9 @@
         while (!opening.empty()) {
             const std::uint32_t link = opening.front();
             opening.pop_front();
+            // A link reports the reply to its first health request before it opens.
+            if (success)
+                send(link_probed{link, true, first_report, 1});
             send(link_opened{link, success});
         }
     }
@@ -126,6 +129,7 @@
     }
 
     searcher_gate gate;
+    reported_state first_report = reported_state::warm;
     time_point now{std::chrono::hours{1}};
     std::uint64_t calls = 0;
     std::vector<start_call> started;
--- a/tests/auto/dispatch/tst_searchergate.cpp
+++ b/tests/auto/dispatch/tst_searchergate.cpp
@@ -273,3 +273,37 @@
         cr_assert(it.serve());
     }
 }
+
+// Failure: a host that takes a searcher over sends it work although it left while
+// nobody watched it.
+Test(searchergate, no_call_before_the_searcher_has_told_its_state)
+{
+    gate_fixture it;
+    it.first_report = reported_state::unknown;
+    it.hold();
+    const call_id early = it.offer();
+    cr_assert(!it.has_started(early));
+    it.send(link_probed{1, true, reported_state::warm, 1});
+    cr_assert(it.has_started(early));
+
+    gate_fixture gone;
+    gone.first_report = reported_state::leaving;
+    gone.hold();
+    cr_assert(gone.rejection(gone.offer()) == error_kind::searcher_leaving);
+}
+
+// Failure: work goes on after the last report of the state has become too old to
+// rule out that the searcher is leaving.
+Test(searchergate, no_call_on_an_old_report)
+{
+    gate_fixture it;
+    it.hold();
+    int served = 0;
+    // Replies without a state keep the links verified, but tell nothing of it.
+    for (int round = 0; round < 30; ++round) {
+        served += it.serve(milliseconds{1}, reported_state::unknown) ? 1 : 0;
+        it.now += milliseconds{99};
+    }
+    cr_assert_geq(served, 25);
+    cr_assert_leq(served, 26);
+}
