membership: one repeated state in a reply, six for a joining host

Cause: at rest each reply repeated two known states, 24 a host and second, which left 300 bytes of the 7 KB/s (sent and received); a host that joins also learned only two states with each reply. Change: a reply repeats one state, and as many as fit if the sender is joining. The new test turns red without the difference. Lost news is repaired at half the pace at rest; zero would leave a host after a long cut without it.

--- a/src/libs/membership/agentmessages.cpp
+++ b/src/libs/membership/agentmessages.cpp
@@ -14,8 +14,9 @@
 // in turn, so that tokens travel several hops within one period.
 constexpr duration heartbeat_period = 500ms;
 constexpr std::size_t slots_per_period = 2 * monitor_count;
-// Known states that a reply repeats; see member_gossip::updates_for().
-constexpr std::size_t repeated_states = 2;
+// Known states that a reply repeats; see member_gossip::updates_for(). One repairs
+// lost news; a host that joins knows nothing yet and gets as many as fit.
+constexpr std::size_t repeated_states = 1;
 
 } // namespace
 
@@ -110,10 +111,12 @@
     }
     const bool granted = message.wants_lease && subject != subjects.end() &&
                          registry.grant_act(message.from, message.incarnation, now);
+    const bool joins = gossip.status_of(message.from) == host_status::joining;
     send(message.from,
-         heartbeat_reply{self, incarnation, message.sequence, objects.version(object_kind::config),
-                         objects.version(object_kind::roster), granted, tracker.tokens(now),
-                         gossip.updates_for(message.from, false, repeated_states)});
+         heartbeat_reply{
+             self, incarnation, message.sequence, objects.version(object_kind::config),
+             objects.version(object_kind::roster), granted, tracker.tokens(now),
+             gossip.updates_for(message.from, false, joins ? max_updates : repeated_states)});
     // A monitor that reports its subject absent grants a fence from now on.
     if (may_use_lease())
         for (const member_update& update : message.updates)
--- a/tests/auto/membership/tst_membershipagent.cpp
+++ b/tests/auto/membership/tst_membershipagent.cpp
@@ -290,6 +290,28 @@
     cr_assert(gossip.updates_for(agent_fleet::name(2), false, 0).empty());
 }
 
+// Failure: hosts at rest repeat to each other what they know, or a host that joins
+// learns the states of the others as slowly as one at rest.
+Test(membership_agent, replies_repeat_more_to_joining_hosts)
+{
+    agent_fleet fleet = started(11, 17, 5, 6);
+    // All news of the start has spread.
+    fleet.run(10s);
+    const host_id peer = agent_fleet::name(1);
+    const incarnation_number later = 10000;
+    for (const host_status status : {host_status::joining, host_status::serving}) {
+        heartbeat request{peer, later, 1, 1, 1, false, {}};
+        request.updates.push_back({peer, later, status == host_status::joining ? 1U : 2U, status});
+        std::size_t states = 0;
+        for (const auto& action : fleet.members[agent_fleet::name(0)].agent->handle(
+                 message_received{request}, fleet.now))
+            if (const auto* sent = std::get_if<send_control>(&action))
+                if (const auto* reply = std::get_if<heartbeat_reply>(&sent->message))
+                    states = reply->updates.size();
+        cr_assert_eq(states, status == host_status::joining ? 6 : 1, "%zu states", states);
+    }
+}
+
 // Failure: the cost of one host grows with the fleet.
 Test(membership_agent, messages_per_host_are_bounded)
 {
