--- a/src/libs/control/entrylist.cpp
+++ b/src/libs/control/entrylist.cpp
@@ -41,8 +41,7 @@
 {
     // Until then a caller may still have this host from a list that another host
     // served before it heard of the leave, and its request may be on its way.
-    const bool unlisted =
-        now >= began_ + freshness_bound + entry_list_validity + request_transit;
+    const bool unlisted = now >= began_ + freshness_bound + entry_list_validity + request_transit;
     if (phase_ == drain_phase::announced && unlisted && requests == 0)
         phase_ = drain_phase::handing_over;
     if (phase_ == drain_phase::handing_over && requests == 0 && calls == 0)
