--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -21,7 +21,7 @@
 // The writer sleeps this long when it finds no line, so that a request's thread
 // never has to wake it.
 constexpr std::chrono::milliseconds idle_wait{5};
-constexpr std::size_t write_batch_bytes = 64 * 1024;
+constexpr std::size_t write_batch_bytes = std::size_t{64} * 1024;
 
 std::string_view level_name(log_level level)
 {
@@ -132,7 +132,7 @@
 logger::logger(log_level least, std::size_t queue_lines)
     : least_(least), state_(std::make_unique<state>(queue_lines))
 {
-    state_->writer = std::jthread{[it = state_.get()](std::stop_token stop) {
+    state_->writer = std::jthread{[it = state_.get()](const std::stop_token& stop) {
         it->run(stop);
     }};
 }
--- a/src/libs/node/httpfrontend.cpp
+++ b/src/libs/node/httpfrontend.cpp
@@ -392,7 +392,7 @@
 {
     state& s = *state_;
     const endpoint& at = s.settings.self.http;
-    if (!s.server.bind_to_port(at.ip.c_str(), at.port))
+    if (!s.server.bind_to_port(at.ip, at.port))
         throw std::runtime_error(
             fmt::format("cannot listen on {}; use a free address in `http`", to_string(at)));
     s.listener = std::thread{[&s] {
--- a/src/libs/node/requestreader.h
+++ b/src/libs/node/requestreader.h
@@ -9,13 +9,14 @@
 #include "query/outcome.h"
 #include "settings/declaration.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <variant>
 
 namespace ebonywick {
 
-inline constexpr std::size_t largest_body_bytes = 1024 * 1024;
+inline constexpr std::size_t largest_body_bytes = std::size_t{1024} * 1024;
 inline constexpr std::size_t longest_name = 128;
 /// Longest deadline that a caller may ask for.
 inline constexpr std::chrono::milliseconds longest_deadline{60000};
