node: one reader of callers' requests, one table of host states

Cause: the checks before a search stood again before an order, and the names of host states in two files. Change: read_request serves both; to_string(host_status) stands with the type.

--- a/src/libs/membership/hoststate.h
+++ b/src/libs/membership/hoststate.h
@@ -6,11 +6,28 @@
 
 #include <compare>
 #include <cstdint>
+#include <string_view>
 
 namespace ebonywick {
 
 enum class host_status { joining, serving, leaving, down };
 
+/// Name of the status in logs and answers.
+[[nodiscard]] constexpr std::string_view to_string(host_status status)
+{
+    switch (status) {
+    case host_status::joining:
+        return "joining";
+    case host_status::serving:
+        return "serving";
+    case host_status::leaving:
+        return "leaving";
+    case host_status::down:
+        return "down";
+    }
+    return "down";
+}
+
 /// One piece of news about a host. A larger (incarnation, sequence) is newer.
 struct member_update
 {
--- a/src/libs/node/controlplane.cpp
+++ b/src/libs/node/controlplane.cpp
@@ -31,21 +31,6 @@
     return kind == object_kind::config ? "config" : "roster";
 }
 
-std::string_view name_of(host_status status)
-{
-    switch (status) {
-    case host_status::joining:
-        return "joining";
-    case host_status::serving:
-        return "serving";
-    case host_status::leaving:
-        return "leaving";
-    case host_status::down:
-        return "down";
-    }
-    return "down";
-}
-
 /// Processor time of the calling thread.
 duration thread_processor_time()
 {
@@ -236,7 +221,7 @@
 void control_plane::state::execute(const host_changed& action)
 {
     log.write(log_level::info, "host_changed",
-              {{"host", action.host.value()}, {"status", name_of(action.status)}});
+              {{"host", action.host.value()}, {"status", to_string(action.status)}});
     view_changed = true;
 }
 
--- a/src/libs/node/httpfrontend.cpp
+++ b/src/libs/node/httpfrontend.cpp
@@ -44,21 +44,6 @@
     std::atomic<std::size_t>& count_;
 };
 
-const char* name_of(host_status status)
-{
-    switch (status) {
-    case host_status::joining:
-        return "joining";
-    case host_status::serving:
-        return "serving";
-    case host_status::leaving:
-        return "leaving";
-    case host_status::down:
-        return "down";
-    }
-    return "down";
-}
-
 request_id new_request_id()
 {
     // Seeded from the system's entropy in each thread, so that no two hosts or
@@ -104,6 +89,9 @@
     }
 
     void add_routes();
+    /// The checked request; empty if it was refused and the response is written.
+    std::optional<caller_request> read_request(const httplib::Request& request,
+                                               httplib::Response& response, time_point now);
     void serve_search(const httplib::Request& request, httplib::Response& response);
     void serve_order(const httplib::Request& request, httplib::Response& response);
     void serve_entry_hosts(const httplib::Request& request, httplib::Response& response);
@@ -173,61 +161,59 @@
     }
 }
 
-void http_frontend::state::serve_search(const httplib::Request& request,
-                                        httplib::Response& response)
+std::optional<caller_request> http_frontend::state::read_request(const httplib::Request& request,
+                                                                 httplib::Response& response,
+                                                                 time_point now)
 {
-    const request_guard guard{active};
-    const time_point now = boot_clock::now();
     const request_id id = new_request_id();
-    if (const auto refused = refusal(now)) {
-        parts.metrics.request_failed(refused->reason.kind);
-        return respond(response, write_refusal(id, *refused));
-    }
+    const auto refuse = [&](const not_run& refused) {
+        parts.metrics.request_failed(refused.reason.kind);
+        respond(response, write_refusal(id, refused));
+        return std::nullopt;
+    };
+    if (const auto refused = refusal(now))
+        return refuse(*refused);
     const auto header = [&](const char* name) {
         return request.get_header_value(name);
     };
-    const auto read = read_caller_request(id, request.matches[1], header, request.body,
-                                          parts.control.view()->config, now);
-    if (const auto* problem = std::get_if<error>(&read)) {
-        parts.metrics.request_failed(problem->kind);
-        return respond(response, write_refusal(id, not_run{*problem}));
-    }
-    const auto& caller = std::get<caller_request>(read);
-    const query_outcome outcome = parts.queries.run(caller);
-    record(caller, summarize(outcome), now);
-    respond(response, write_outcome(id, outcome));
+    auto read = read_caller_request(id, request.matches[1], header, request.body,
+                                    parts.control.view()->config, now);
+    if (const auto* problem = std::get_if<error>(&read))
+        return refuse(not_run{*problem});
+    return std::get<caller_request>(std::move(read));
+}
+
+void http_frontend::state::serve_search(const httplib::Request& request,
+                                        httplib::Response& response)
+{
+    const request_guard guard{active};
+    const time_point now = boot_clock::now();
+    const auto caller = read_request(request, response, now);
+    if (!caller)
+        return;
+    const query_outcome outcome = parts.queries.run(*caller);
+    record(*caller, summarize(outcome), now);
+    respond(response, write_outcome(caller->id, outcome));
 }
 
 void http_frontend::state::serve_order(const httplib::Request& request, httplib::Response& response)
 {
     const request_guard guard{active};
     const time_point now = boot_clock::now();
-    const request_id id = new_request_id();
-    if (const auto refused = refusal(now)) {
-        parts.metrics.request_failed(refused->reason.kind);
-        return respond(response, write_refusal(id, *refused));
-    }
-    const auto header = [&](const char* name) {
-        return request.get_header_value(name);
-    };
-    const auto read = read_caller_request(id, request.matches[1], header, request.body,
-                                          parts.control.view()->config, now);
-    if (const auto* problem = std::get_if<error>(&read)) {
-        parts.metrics.request_failed(problem->kind);
-        return respond(response, write_refusal(id, not_run{*problem}));
-    }
+    const auto caller = read_request(request, response, now);
+    if (!caller)
+        return;
     const std::string key = request.get_header_value("Idempotency-Key");
-    if (request.get_header_value_count("Idempotency-Key") != 1) {
-        const error problem =
-            make_error(error_kind::invalid_request, "one Idempotency-Key is required");
-        return respond(response, write_refusal(id, not_run{problem}));
+    std::optional<error> problem = check_order_key(key);
+    if (request.get_header_value_count("Idempotency-Key") != 1)
+        problem = make_error(error_kind::invalid_request, "one Idempotency-Key is required");
+    if (problem) {
+        parts.metrics.request_failed(problem->kind);
+        return respond(response, write_refusal(caller->id, not_run{*problem}));
     }
-    if (const auto problem = check_order_key(key))
-        return respond(response, write_refusal(id, not_run{*problem}));
-    const auto& caller = std::get<caller_request>(read);
-    const order_outcome outcome = parts.orders.run(caller, key);
-    record(caller, summarize(outcome), now);
-    respond(response, write_outcome(id, outcome));
+    const order_outcome outcome = parts.orders.run(*caller, key);
+    record(*caller, summarize(outcome), now);
+    respond(response, write_outcome(caller->id, outcome));
 }
 
 void http_frontend::state::serve_entry_hosts(const httplib::Request& request,
@@ -265,7 +251,7 @@
     json hosts = json::array();
     for (const known_host& it : parts.control.hosts()) {
         hosts.push_back({{"id", it.place.id.value()},
-                         {"status", name_of(it.status)},
+                         {"status", to_string(it.status)},
                          {"failure_domain", it.place.domain.value()},
                          {"http", to_string(it.place.http)}});
     }
@@ -278,7 +264,7 @@
     const json out{{"host", settings.self.id.value()},
                    {"incarnation", parts.incarnation},
                    {"domain", settings.self.domain.value()},
-                   {"status", name_of(parts.control.status_of(settings.self.id))},
+                   {"status", to_string(parts.control.status_of(settings.self.id))},
                    {"current", parts.control.is_current(boot_clock::now())},
                    {"config_version", view->config_version},
                    {"roster_version", view->roster_version},
