--- a/src/libs/dispatch/searchergate.cpp
+++ b/src/libs/dispatch/searchergate.cpp
@@ -62,8 +62,15 @@
     [[nodiscard]] std::optional<error> refusal() const;
     [[nodiscard]] duration expected_wait(const gate_call& call) const;
 
-    void observe(reported_state reported, std::uint64_t boot_id, bool from_probe, time_point now,
-                 actions& out);
+    // A warm searcher that still runs a lost call sheds what it cannot bear; holding
+    // its slots would make a fault of many connections a shortage of slots.
+    [[nodiscard]] std::size_t used_slots() const
+    {
+        return running.size() + (warmth.warm() ? 0 : unconfirmed.size());
+    }
+
+    void observe(reported_state reported, std::uint64_t reported_boot, bool from_probe,
+                 time_point now, actions& out);
     void note(std::string_view reason, actions& out) const;
     void activity_changed(bool was_active, std::string_view reason, actions& out);
     void lost_call(const running_call& call, duration after, time_point now, actions& out);
@@ -74,8 +81,13 @@
     cold_start warmth;
     link_pool links;
     call_queue queue;
-    // Each holds a slot; size() <= warmth.limit() whenever a call starts.
+    // Each holds a slot; while the searcher is not warm, running and unconfirmed calls
+    // together are at most warmth.limit() whenever a call starts.
     std::vector<running_call> running;
+    // Calls whose reply was lost and which the searcher may still run: the time up
+    // to which each holds its slot.
+    std::vector<time_point> unconfirmed;
+    std::uint64_t boot_id = 0;
     bool held = false;
     bool domain_out = false;
     bool is_leaving = false;
@@ -103,7 +115,7 @@
 
 duration searcher_gate::state::expected_wait(const gate_call& call) const
 {
-    if (running.size() < warmth.limit() && queue.empty())
+    if (used_slots() < warmth.limit() && queue.empty())
         return duration::zero();
     const auto ahead = static_cast<duration::rep>(queue.ahead_of(call)) + 1;
     return mean_call * ahead / static_cast<duration::rep>(warmth.limit());
@@ -136,6 +148,9 @@
     running.pop_back();
     switch (ev.status) {
     case reply_status::lost:
+        // Without latency nothing was written to the connection.
+        if (ev.latency > duration::zero() && now < call.attempt_deadline + slot_grace)
+            unconfirmed.push_back(call.attempt_deadline + slot_grace);
         lost_call(call, ev.latency, now, out);
         break;
     case reply_status::completed:
@@ -227,11 +242,14 @@
     note(warmth.lost(call.link, too_short), out);
 }
 
-void searcher_gate::state::observe(reported_state reported, std::uint64_t boot_id, bool from_probe,
-                                   time_point now, actions& out)
+void searcher_gate::state::observe(reported_state reported, std::uint64_t reported_boot,
+                                   bool from_probe, time_point now, actions& out)
 {
     if (reported != reported_state::unknown)
         state_known_at = now;
+    // A searcher that started again runs none of its former calls.
+    if (reported_boot != 0 && std::exchange(boot_id, reported_boot) != reported_boot)
+        unconfirmed.clear();
     if (reported == reported_state::leaving) {
         leaving_since = now;
         is_leaving = true;
@@ -242,7 +260,7 @@
         is_leaving = false;
         note(warmth.reset("searcher returned"), out);
     }
-    note(warmth.reported(reported, boot_id), out);
+    note(warmth.reported(reported, reported_boot), out);
 }
 
 void searcher_gate::state::note(std::string_view reason, actions& out) const
@@ -282,6 +300,7 @@
     was_unavailable = unavailable;
     if (!queue.empty() && (!active() || is_leaving || unavailable))
         reject_queued(out);
+    std::erase_if(unconfirmed, [&](time_point until) { return until <= now; });
     if (!active())
         return;
     if (!state_known_at || now - *state_known_at > state_validity) {
@@ -289,7 +308,7 @@
         return;
     }
     bool starved = false;
-    while (running.size() < warmth.limit() && !queue.empty()) {
+    while (used_slots() < warmth.limit() && !queue.empty()) {
         const std::optional<std::uint32_t> link = links.take(now);
         starved = !link;
         if (starved)
--- a/tests/auto/dispatch/tst_searchergate.cpp
+++ b/tests/auto/dispatch/tst_searchergate.cpp
@@ -329,3 +329,34 @@
         cancel_one();
     cr_assert_eq(it.gate.limit(), 1U);
 }
+
+// Failure: a call whose reply was lost frees its slot while the searcher still runs
+// it, so that the searcher has more calls than it bears.
+Test(searchergate, lost_call_holds_its_slot_until_the_searcher_has_ended_it)
+{
+    gate_fixture it;
+    it.hold();
+    const call_id lost = it.offer();
+    it.now += milliseconds{100};
+    it.complete(it.started.front(), reply_status::lost, milliseconds{100}, reported_state::unknown,
+                0);
+    cr_assert(it.has_started(lost));
+    const call_id next = it.offer(request_class::interactive, "a", milliseconds{2000});
+    it.answer_probes();
+    it.now += milliseconds{849};
+    it.send(gate_tick{});
+    it.answer_probes();
+    cr_assert(!it.has_started(next), "the lost call's deadline and 50 ms have not passed");
+    it.now += milliseconds{1};
+    it.send(gate_tick{});
+    it.answer_probes();
+    cr_assert(it.has_started(next));
+
+    // A searcher that has started again runs none of its former calls.
+    const call_id cut = it.offer(request_class::interactive, "a", milliseconds{900});
+    it.complete(it.started.back(), reply_status::lost, milliseconds{1}, reported_state::unknown, 0);
+    cr_assert(!it.has_started(cut));
+    it.send(link_probed{2, true, reported_state::warm, 2});
+    it.answer_probes();
+    cr_assert(it.has_started(cut));
+}
--- a/tests/standins/shardedstate/main.cpp
+++ b/tests/standins/shardedstate/main.cpp
@@ -245,6 +245,7 @@
     }};
     {
         std::vector<std::jthread> callers;
+        callers.reserve(caller_threads);
         for (int caller = 0; caller < caller_threads; ++caller) {
             callers.emplace_back([&, caller] {
                 for (int n = 0; n < queries_per_caller; ++n) {
