upstreams: load between reports from the usual load and own calls; longer queues admitted

In between the reported load faded to nothing, so queues were underestimated and admission and choice went by chance. The report now moves towards a moving average, and calls that the host itself sent since are added. With truer waits the tolerated one can be larger (0.6 of the shortest target), and the preference for cheap upstreams stronger.

--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -35,7 +35,7 @@
 // Part of the shortest target latency of the routes on the same services that a call may
 // wait for a slot. With longer queues the quickest kind of request would miss its target
 // while all slots are busy anyway.
-constexpr double tolerated_wait = 0.3;
+constexpr double tolerated_wait = 0.6;
 // Share of the shards whose queues do not count, because an answer may leave them out. It
 // is the same for all kinds of request: with each kind's own share, the kind that needs
 // fewer shards would be admitted more often than a more urgent one.
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -25,10 +25,15 @@
 // calls gets about a twentieth of the calls of a good one.
 constexpr double failure_exponent = 3.0;
 constexpr double most_failures = 0.9;
-// Time after which half of a reported load is gone: the queue of an upstream with 2 to 4
-// slots and work of some ten milliseconds changes within it. Where many hosts share an
-// upstream, each gets a report only a few times a second.
+// Time after which half of the difference between a report and the usual load is gone:
+// the queue of an upstream with 2 to 4 slots and work of some ten milliseconds changes
+// within it. Where many hosts share an upstream, each gets a report only a few times a
+// second.
 constexpr duration load_half_life = milliseconds{100};
+// Time after which a report has half of the weight in the usual load, and time after
+// which half of the usual load is gone without reports. An overload lasts for seconds.
+constexpr duration usual_load_gain_half_life = milliseconds{100};
+constexpr duration usual_load_half_life = milliseconds{400};
 // First and longest time for which an upstream without replies is avoided. The first is
 // about the length of a pause, so that most pauses cost one late call.
 constexpr duration first_avoidance = milliseconds{200};
@@ -40,7 +45,7 @@
 constexpr int work_samples = 64;
 constexpr double cold_cost = 1.6;
 // Exponent of the weights: the larger, the more the cheapest upstream is preferred.
-constexpr double preference = 2.0;
+constexpr double preference = 3.0;
 
 // What is left of an observation after `age`.
 double faded(double value, duration age, duration half_life)
@@ -149,10 +154,18 @@
     return 1.0 + faded(it.slowness_ - 1.0, now - it.slowness_at_, slowness_half_life);
 }
 
+double upstream_table::usual_load(const upstream& it, time_point now)
+{
+    return faded(it.usual_load_, now - it.load_at_, usual_load_half_life);
+}
+
 double upstream_table::busy_calls(const upstream& it, time_point now)
 {
+    const double usual = usual_load(it, now);
     const double reported = it.load_.running + it.load_.waiting;
-    return std::max<double>(it.calls_, faded(reported, now - it.load_at_, load_half_life));
+    const double load = usual + faded(reported - usual, now - it.load_at_, load_half_life);
+    const double own_change = static_cast<double>(it.calls_) - it.calls_at_load_;
+    return std::max<double>(it.calls_, load + own_change);
 }
 
 duration upstream_table::expected_wait(const service_name& service, time_point now) const
@@ -305,8 +318,12 @@
 
 void upstream_table::load_reported(upstream& it, reported_load load, time_point now)
 {
+    const double usual = usual_load(it, now);
+    const double calls = load.running + load.waiting;
+    it.usual_load_ = calls + faded(usual - calls, now - it.load_at_, usual_load_gain_half_life);
     it.load_ = load;
     it.load_at_ = now;
+    it.calls_at_load_ = it.calls_;
 }
 
 void upstream_table::call_late(upstream& it, time_point now)
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -103,6 +103,10 @@
     time_point failure_share_at_{};
     reported_load load_;
     time_point load_at_{};
+    // Calls of this host in progress at that time.
+    std::uint32_t calls_at_load_ = 0;
+    // Moving average of the reported calls, as of load_at_.
+    double usual_load_ = 0.0;
     // Until then the upstream gets calls only if no other can take them.
     time_point avoided_until_{};
     // Failures and late calls since the last reply.
@@ -170,6 +174,10 @@
 
     // Slowness as far as its observation still counts.
     [[nodiscard]] static double current_slowness(const upstream& it, time_point now);
+    // Average of the reported calls, as far as it still counts.
+    [[nodiscard]] static double usual_load(const upstream& it, time_point now);
+    // Calls in progress from all hosts: the last report, moved towards the usual load as
+    // it ages, and the calls of this host since.
     [[nodiscard]] static double busy_calls(const upstream& it, time_point now);
     [[nodiscard]] double cost(const upstream& it, time_point now) const;
     // Calls that a cold upstream may get now; 1 or more for a warm one.
--- a/tests/auto/upstreams/tst_upstreamtable.cpp
+++ b/tests/auto/upstreams/tst_upstreamtable.cpp
@@ -184,6 +184,40 @@
     cr_assert(f.table.expected_wait(service, f.now) == 0ms);
 }
 
+// Pattern: a long overload, in which each of many hosts gets a report of an upstream only
+// now and then. Failure: between two reports the queue seems to be gone.
+Test(upstream_table, lasting_queue_is_expected_between_reports)
+{
+    table_fixture f;
+    f.add("a");
+    for (int it = 0; it < 200; ++it)
+        f.call("a", call_result::replied);
+    for (int it = 0; it < 20; ++it) {
+        f.now += 100ms;
+        f.table.load_reported(f.at("a"), {4, 8, 4}, f.now);
+    }
+    const auto reported = f.table.expected_wait(service, f.now);
+    f.now += 200ms;
+    cr_assert(f.table.expected_wait(service, f.now) > reported / 2);
+    f.now += 3s;
+    cr_assert(f.table.expected_wait(service, f.now) == 0ms);
+}
+
+// Failure: a host sends a series of calls to the upstream that its last report called
+// idle, because the calls sent since then do not count until they exceed the report.
+Test(upstream_table, own_calls_since_the_report_are_added)
+{
+    table_fixture f;
+    f.add("a");
+    for (int it = 0; it < 200; ++it)
+        f.call("a", call_result::replied);
+    f.table.load_reported(f.at("a"), {4, 0, 4}, f.now);
+    const auto before = f.table.expected_wait(service, f.now);
+    for (int it = 0; it < 4; ++it)
+        f.table.call_started(f.at("a"), f.now);
+    cr_assert(f.table.expected_wait(service, f.now) > 2 * before);
+}
+
 // Pattern: the queue stands at an upstream that has become slow. Failure: the wait is taken
 // for that of an ordinary one.
 Test(upstream_table, expected_wait_counts_slowness)
