gateway: store calls that may be lost have short time limits at first

The limit now grows from 300 ms to 1 s, and the pause after a failure counts from the begin of the call. Ruled out: shorter limits in general; a store that is slowed down answers after 360 ms.

--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-// A list takes 4 ms, and a store that is slowed down has been seen to take 90 times as long.
-// A host that starts while the store is silent waits for no more than this after its return.
-constexpr duration list_timeout = std::chrono::milliseconds{1000};
 constexpr int status_ok = 200;
 
 } // namespace
@@ -107,7 +104,8 @@
 {
     const platform::freshness needed = next_freshness();
     handlers_.calling(kind_, "list", needed);
-    channel_.call(platform::encode_list(kind_, after_, needed, store_), list_timeout,
+    retry_.call_started(timers_.now());
+    channel_.call(platform::encode_list(kind_, after_, needed, store_), retry_.time_limit(),
                   [this](const std::optional<http_message>& reply) {
                       if (!reply)
                           failed("no_reply");
@@ -148,6 +146,7 @@
 {
     const platform::freshness needed = next_freshness();
     handlers_.calling(kind_, "watch", needed);
+    retry_.call_started(timers_.now());
     channel_.call(
         platform::encode_watch(kind_, revision_, gateway_constants::watch_wait, needed, store_),
         gateway_constants::watch_wait + gateway_constants::store_call_slack,
@@ -198,7 +197,7 @@
 void collection_watch::succeeded()
 {
     handlers_.counted("ok");
-    failures_ = 0;
+    retry_.succeeded();
     if (in_contact_)
         return;
     in_contact_ = true;
@@ -214,13 +213,10 @@
     handlers_.counted("failed");
     pages_.clear();
     after_.clear();
-    if (in_contact_ || failures_ == 0)
+    if (in_contact_ || retry_.failures() == 0)
         handlers_.contact(kind_, reason);
     in_contact_ = false;
-    ++failures_;
-    const auto shift = std::min<std::uint32_t>(failures_ - 1, 8);
-    pause_.set_after(std::min(gateway_constants::store_retry_longest,
-                              gateway_constants::store_retry_first * (1 << shift)));
+    pause_.set_after(retry_.pause_after_failure(timers_.now()));
 }
 
 } // namespace ebonywick
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/httpchannel.h"
+#include "gateway/storeretry.h"
 #include "platform/storecodec.h"
 
 #include <functional>
@@ -111,7 +112,7 @@
     bool replacing_ = false;
     bool must_list_ = true;
     bool in_contact_ = false;
-    std::uint32_t failures_ = 0;
+    store_retry retry_;
 };
 
 } // namespace ebonywick
--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -51,8 +51,14 @@
 inline constexpr duration configuration_pause = milliseconds{200};
 inline constexpr duration upstream_pause = milliseconds{400};
 inline constexpr duration host_pause = milliseconds{500};
+// Pauses after failed calls.
 inline constexpr duration store_retry_first = milliseconds{100};
 inline constexpr duration store_retry_longest = milliseconds{600};
+// Time limits of calls that the store answers at once, within 4 ms as a rule and within
+// 360 ms when it is slowed down.
+inline constexpr duration store_limit_first = milliseconds{300};
+inline constexpr duration store_limit_step = milliseconds{200};
+inline constexpr duration store_limit_longest = milliseconds{1000};
 
 // An upstream whose entry vanished may be back within two seconds; until then it is
 // used only if no other is left. Below the 3 s after which it must get nothing.
--- a/src/libs/gateway/hostregistration.cpp
+++ b/src/libs/gateway/hostregistration.cpp
@@ -1,14 +1,11 @@
 // Create, else replace.
 #include "gateway/hostregistration.h"
 
-#include "gateway/constants.h"
-
-#include <algorithm>
-
 namespace ebonywick {
 
 namespace {
 
+// Longer than the limit of a list: a write that was given up may still take effect.
 constexpr duration write_timeout = std::chrono::milliseconds{2500};
 
 } // namespace
@@ -17,7 +14,7 @@
                                      const endpoint& store, std::string name, std::string content,
                                      std::function<void()> registered)
     : store_(store), name_(std::move(name)), content_(std::move(content)),
-      registered_(std::move(registered)), channel_(loop, timers, store),
+      registered_(std::move(registered)), timers_(timers), channel_(loop, timers, store),
       pause_(timers, [this] { write(); })
 {
 }
@@ -29,6 +26,7 @@
 
 void host_registration::write()
 {
+    retry_.call_started(timers_.now());
     channel_.call(
         platform::encode_write(platform::object_kind::hosts, name_, content_, create_, store_),
         write_timeout, [this](const std::optional<http_message>& reply) {
@@ -40,15 +38,13 @@
             // An entry of an earlier life exists, or has been removed meanwhile.
             if (reply && (platform::already_exists(reply->status) || reply->status == 404)) {
                 create_ = !create_;
-                if (failures_ == 0) {
-                    ++failures_;
+                if (retry_.failures() == 0) {
+                    static_cast<void>(retry_.pause_after_failure(timers_.now()));
                     write();
                     return;
                 }
             }
-            const auto shift = std::min<std::uint32_t>(failures_++, 8);
-            pause_.set_after(std::min(gateway_constants::store_retry_longest,
-                                      gateway_constants::store_retry_first * (1 << shift)));
+            pause_.set_after(retry_.pause_after_failure(timers_.now()));
         });
 }
 
--- a/src/libs/gateway/hostregistration.h
+++ b/src/libs/gateway/hostregistration.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/httpchannel.h"
+#include "gateway/storeretry.h"
 #include "platform/storecodec.h"
 
 #include <functional>
@@ -29,11 +30,12 @@
     std::string name_;
     std::string content_;
     std::function<void()> registered_;
+    timer_queue& timers_;
     http_channel channel_;
     loop_timer pause_;
     bool create_ = true;
     bool done_ = false;
-    std::uint32_t failures_ = 0;
+    store_retry retry_;
 };
 
 } // namespace ebonywick
