--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int status_ok = 200;
+// Start of the reasons for failures of calls that the store answered with unreadable content.
+constexpr std::string_view unreadable_reason = "unreadable";
 
 } // namespace
 
@@ -40,7 +42,7 @@
 
 void collection_watch::catch_up(std::uint64_t revision)
 {
-    if (revision <= revision_) {
+    if (revision <= copy_.revision() || source_ == change_source::other_hosts) {
         behind_since_ = time_point::max();
         return;
     }
@@ -70,31 +72,54 @@
                                                               : policy_.read_freshness;
 }
 
-void collection_watch::update_items(const std::vector<platform::stored_item>& items)
+bool collection_watch::adopt(const collection_update& update)
 {
-    for (const platform::stored_item& it : items) {
-        newest_change_ = std::max(newest_change_, it.revision);
-        if (it.deleted)
-            items_.erase(it.name);
-        else
-            items_[it.name] = it;
+    std::vector<platform::stored_item> changed;
+    switch (copy_.adopt(update, changed)) {
+    case collection_copy::adoption::ignored:
+        return false;
+    case collection_copy::adoption::changed:
+        if (!changed.empty())
+            handlers_.changed(changed);
+        return true;
+    case collection_copy::adoption::replaced:
+        needs_list_ = false;
+        listed_so_far_ = {};
+        list_after_.clear();
+        handlers_.listed(update.page.items);
+        return true;
     }
+    return false;
+}
+
+void collection_watch::set_other_readers(bool exist)
+{
+    const bool regained = exist && !other_readers_;
+    other_readers_ = exist;
+    if (regained && store_unavailable_ && !channel_.busy())
+        start_next_call();
 }
 
-void collection_watch::adopt(const platform::collection_page& state)
+void collection_watch::set_source(change_source source)
 {
-    if (in_contact_ || state.revision <= revision_)
+    if (source == source_)
         return;
-    revision_ = state.revision;
-    needs_list_ = false;
-    items_.clear();
-    update_items(state.items);
-    handlers_.listed(state.items);
+    source_ = source;
+    if (source == change_source::other_hosts)
+        restart_call();
+    else if (!channel_.busy())
+        start_next_call();
 }
 
 void collection_watch::start_next_call()
 {
     pause_timer_.cancel();
+    if (!needs_list_ && source_ == change_source::other_hosts)
+        return;
+    if (!handlers_.may_call(collection_)) {
+        pause_timer_.set_after(gateway_constants::held_call_pause);
+        return;
+    }
     if (needs_list_)
         send_list();
     else
@@ -126,20 +151,24 @@
         return;
     }
     on_success();
+    // Another host has passed on the collection meanwhile.
+    if (!needs_list_) {
+        start_next_call();
+        return;
+    }
     // The watch starts at the first page's revision, so it also returns changes that were
     // made while later pages were read.
     if (list_after_.empty())
-        revision_ = page->revision;
+        listed_so_far_.revision = page->revision;
     if (page->has_more)
         list_after_ = page->items.back().name;
-    std::move(page->items.begin(), page->items.end(), std::back_inserter(listed_so_far_));
+    std::move(page->items.begin(), page->items.end(), std::back_inserter(listed_so_far_.items));
     if (!page->has_more) {
         needs_list_ = false;
         list_after_.clear();
-        const auto items = std::exchange(listed_so_far_, {});
-        items_.clear();
-        update_items(items);
-        handlers_.listed(items);
+        const auto list = std::exchange(listed_so_far_, {});
+        if (copy_.replace(list))
+            handlers_.listed(list.items);
     }
     start_next_call();
 }
@@ -149,8 +178,8 @@
     const platform::freshness needed = next_freshness();
     handlers_.call_started(collection_, "watch", needed);
     retry_.call_started(timers_.now());
-    channel_.call(platform::encode_watch(collection_, revision_, gateway_constants::watch_wait,
-                                         needed, store_),
+    channel_.call(platform::encode_watch(collection_, copy_.revision(),
+                                         gateway_constants::watch_wait, needed, store_),
                   gateway_constants::watch_wait + gateway_constants::store_call_margin,
                   [this](const std::optional<http_message>& reply) {
                       if (!reply)
@@ -167,6 +196,12 @@
 void collection_watch::on_history_gone()
 {
     handlers_.call_ended("history_gone");
+    if (policy_.read_freshness == platform::freshness::stale_ok && other_readers_) {
+        // The hosts that read the newest state pass it on. If all hosts read it, a large fleet
+        // would flood the store.
+        pause_timer_.set_after(gateway_constants::stale_read_pause_after_gap);
+        return;
+    }
     needs_list_ = true;
     // A stale list may have a revision whose history is gone as well, and a stale watch may
     // not know the revision of the list. Either would fail the same way at once, and lists
@@ -187,21 +222,21 @@
         return;
     }
     on_success();
-    revision_ = std::max(revision_, page->revision);
     last_watch_had_gap_ = false;
-    if (page->items.empty()) {
+    const auto changed = copy_.apply(*page);
+    if (!changed.empty())
+        handlers_.changed(changed);
+    if (page->items.empty())
         start_next_call();
-        return;
-    }
-    update_items(page->items);
-    handlers_.changed(page->items);
-    pause_timer_.set_after(policy_.pause);
+    else
+        pause_timer_.set_after(policy_.pause);
 }
 
 void collection_watch::on_success()
 {
     handlers_.call_ended("ok");
     retry_.succeeded();
+    store_unavailable_ = false;
     if (in_contact_)
         return;
     in_contact_ = true;
@@ -215,7 +250,8 @@
         return;
     }
     handlers_.call_ended("failed");
-    listed_so_far_.clear();
+    store_unavailable_ = !reason.starts_with(unreadable_reason);
+    listed_so_far_ = {};
     list_after_.clear();
     if (in_contact_ || retry_.failures() == 0)
         handlers_.contact_changed(collection_, reason);
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -1,12 +1,13 @@
-// Keeps a local copy of one store collection up to date: lists it once, then watches it.
+// Keeps a local copy of one store collection up to date: lists it once, then watches it, unless
+// other hosts pass on its changes.
 #pragma once
 
+#include "gateway/collectioncopy.h"
 #include "gateway/httpchannel.h"
 #include "gateway/storeretry.h"
 #include "platform/storecodec.h"
 
 #include <functional>
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +25,8 @@
     /// A `list` or `watch` call is about to be sent.
     std::function<void(platform::store_collection, std::string_view call, platform::freshness)>
         call_started;
+    /// Whether a call may be sent now; while it may not, the watch waits.
+    std::function<bool(platform::store_collection)> may_call;
     /// A call has ended with `ok`, `failed` or `history_gone`. Restarted calls do not count.
     std::function<void(std::string_view outcome)> call_ended;
 };
@@ -44,6 +47,9 @@
     auto operator<=>(const watch_policy&) const = default;
 };
 
+/// Where the changes of a collection come from once it is complete.
+enum class change_source : std::uint8_t { store, other_hosts };
+
 /// Not thread-safe.
 class collection_watch
 {
@@ -54,22 +60,24 @@
 
     void start();
     /// The complete collection is known, from a list or from another host.
-    [[nodiscard]] bool complete() const { return revision_ != 0; }
+    [[nodiscard]] bool complete() const { return copy_.complete(); }
     [[nodiscard]] bool in_contact() const { return in_contact_; }
-    [[nodiscard]] std::uint64_t revision() const { return revision_; }
-    /// The local copy of the collection, by name.
-    [[nodiscard]] const std::map<std::string, platform::stored_item>& items() const
-    {
-        return items_;
-    }
-    /// Replaces the local copy with that of another host. Does nothing while the store is
-    /// reachable or if `state` is not newer.
-    void adopt(const platform::collection_page& state);
-    /// Highest revision of an item seen so far; 0 before the first item.
-    [[nodiscard]] std::uint64_t newest_change() const { return newest_change_; }
+    [[nodiscard]] const collection_copy& copy() const { return copy_; }
+    /// Takes over what another host passed on. False if that is not newer than the local copy.
+    bool adopt(const collection_update& update);
     /// Sets the freshness of the following calls. A change from stale_ok to newest also
     /// restarts the watch in progress.
     void set_freshness(platform::freshness needed);
+    /// With other_hosts, no call is sent as long as the collection is complete.
+    void set_source(change_source source);
+    /// Whether another live host reads the store, so that its changes arrive by adopt() while
+    /// stale reads of this host fail. If that becomes true, a call that failed is repeated at
+    /// once.
+    void set_other_readers(bool exist);
+    /// Sets the upper bound of the interval between calls that fail.
+    void set_max_retry_pause(duration pause) { retry_.set_max_pause(pause); }
+    /// The store did not answer the last call, or refused it.
+    [[nodiscard]] bool store_unavailable() const { return store_unavailable_; }
     /// Another host has applied a change with this revision. If the change does not arrive
     /// here within gateway_constants::catch_up_delay, the watch is restarted and reads the
     /// newest state. To be called regularly.
@@ -88,7 +96,6 @@
     // Aborts the watch in progress and sends a new one.
     void restart_call();
     [[nodiscard]] platform::freshness next_freshness();
-    void update_items(const std::vector<platform::stored_item>& items);
 
     endpoint store_;
     platform::store_collection collection_;
@@ -97,15 +104,14 @@
     timer_queue& timers_;
     http_channel channel_;
     loop_timer pause_timer_;
-    std::map<std::string, platform::stored_item> items_;
-    // Items on the pages of the list in progress, and the name after which the next page
-    // starts (empty for the first page).
-    std::vector<platform::stored_item> listed_so_far_;
+    // The next watch starts at its revision.
+    collection_copy copy_;
+    // The pages of the list in progress so far, with the revision of the first one, and the name
+    // after which the next page starts (empty for the first page).
+    platform::collection_page listed_so_far_;
     std::string list_after_;
-    // Revision up to which the local copy is complete; the next watch starts there. 0 before
-    // the first list.
-    std::uint64_t revision_ = 0;
-    std::uint64_t newest_change_ = 0;
+    change_source source_ = change_source::store;
+    bool other_readers_ = false;
     // When catch_up() first found that a change of another host was missing here;
     // time_point::max() if none is missing.
     time_point behind_since_ = time_point::max();
@@ -119,6 +125,7 @@
     bool restarting_ = false;
     bool needs_list_ = true;
     bool in_contact_ = false;
+    bool store_unavailable_ = false;
     store_retry retry_;
 };
 
--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -57,6 +57,12 @@
 // bounds.
 inline constexpr duration min_store_retry_pause = milliseconds{100};
 inline constexpr duration max_store_retry_pause = milliseconds{600};
+// Number of hosts that keep these bounds during an outage of the store. The others call it less
+// often, and at once when a heartbeat shows that a host has regained it.
+inline constexpr std::size_t outage_prober_count = 4;
+inline constexpr duration max_idle_store_retry_pause = milliseconds{2400};
+// A watch whose call is held back checks again after this time.
+inline constexpr duration held_call_pause = milliseconds{100};
 // Timeout of lists: grows by a step with each failure, up to the maximum. The store normally
 // replies within 4 ms, and within 360 ms when it is slow.
 inline constexpr duration initial_store_call_timeout = milliseconds{300};
@@ -70,8 +76,10 @@
 
 // Number of hosts that read the newest state of the store; two of them may fail at once.
 inline constexpr std::size_t newest_reader_count = 3;
-// After a gap in the store's history the newest state is read for this time; stale reads
-// show a state that is some seconds old.
+// After a gap in the store's history a host whose reads may lag waits this long before the next
+// one, while other hosts pass on the changes. Stale reads are some seconds behind then.
+inline constexpr duration stale_read_pause_after_gap = milliseconds{4000};
+// Without such hosts the newest state is read for this time.
 inline constexpr duration newest_reads_after_gap = milliseconds{8000};
 // A change that other hosts have applied may take this long to arrive by a stale watch,
 // whose pause is at most 400 ms, before the newest state is read. Together with a heartbeat
@@ -81,8 +89,32 @@
 // is three heartbeat intervals of a large fleet. Until then its watches may
 // lag; a host that receives none reads the newest state afterwards.
 inline constexpr duration peer_discovery_time = milliseconds{3000};
-// Shortest interval between two reads of another host's store snapshot, and the timeout of a
-// read.
+// A host that starts waits this long for the list of hosts before it reads the rest of the
+// store; the list normally takes 4 ms.
+inline constexpr duration host_list_wait = milliseconds{150};
+// A host that starts in a large fleet lets the relays pass on the store's state for this time
+// before it reads the store itself, and for a longer time if a relay has answered: the relays may
+// have started with it.
+inline constexpr duration relayed_start_wait = milliseconds{1000};
+inline constexpr duration answered_start_wait = milliseconds{3000};
+// Interval of heartbeats and queries until the store's state is known.
+inline constexpr duration starting_heartbeat_interval = milliseconds{250};
+// A host that is not registered yet waits this long, because at the first start of a fleet the
+// other hosts register within this time.
+inline constexpr duration registration_wait = milliseconds{1000};
+// A host follows its relays for this time after the last one has lost the store. An outage is
+// usually shorter, and reads by all hosts would hit the store when it returns.
+inline constexpr duration readerless_follow_time = milliseconds{10000};
+// A host follows its relays as long as one has answered within this time, which is two heartbeat
+// intervals of a large fleet and a margin.
+inline constexpr duration relay_answer_timeout = milliseconds{2500};
+// A host that watches the store waits this long for a change that others have applied before it
+// reads the change from one of them; below the delay after which it reads the newest state. A
+// host that follows relays waits as long for one of its failure domain to have the change.
+inline constexpr duration follow_delay = milliseconds{400};
+// Shortest interval between two reads of another host's store snapshot, after one that succeeded
+// and after one that failed, and the timeout of a read.
+inline constexpr duration snapshot_read_interval = milliseconds{200};
 inline constexpr duration snapshot_read_pause = milliseconds{1000};
 inline constexpr duration snapshot_read_timeout = milliseconds{1000};
 // Number of connections opened ahead of requests with each heartbeat; a new connection
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -103,8 +103,7 @@
                   handlers_for([this](const auto& items, bool is_full_list) {
                       on_hosts(items, is_full_list);
                   })),
-      registration_(loop, timers, settings.store, settings.host.value(),
-                    encode_host_record(make_host_record(settings, incarnation_)),
+      registration_(loop, timers, settings.store, make_host_record(settings, incarnation_),
                     [this] { log_.write(log_level::info, "host_registered", {}); }),
       heartbeat_link_(
           loop, settings.heartbeats,
@@ -122,7 +121,13 @@
                       {[this](http_exchange it) { on_metrics(std::move(it)); }, encode_refusal}),
       control_server_(loop, timers, settings.control,
                       {[this](http_exchange it) { on_control(std::move(it)); }, encode_refusal}),
-      snapshot_channel_(loop, timers, settings.control),
+      snapshot_channel_(loop, timers, settings.control), reading_timer_(timers,
+                                                                        [this] {
+                                                                            if (reading_begun_)
+                                                                                start_watches();
+                                                                            else
+                                                                                begin_reading();
+                                                                        }),
       heartbeat_timer_(timers, [this] { on_heartbeat_due(); }),
       log_timer_(timers,
                  [this] {
@@ -149,6 +154,12 @@
                             {"call", call},
                             {"newest", needed == platform::freshness::newest ? "yes" : "no"}});
             },
+            // While the configuration cannot be read, the store is probably unavailable, and the
+            // other collections wait until it can.
+            [this](store_collection collection) {
+                return collection == store_collection::configuration ||
+                       !configuration_watch_.store_unavailable();
+            },
             [this](std::string_view outcome) {
                 metrics_.store_call(outcome);
             }};
@@ -164,11 +175,8 @@
                 {"store", to_string(settings_.store)}});
     started_at_ = timers_.now();
     log_.flush(started_at_);
-    configuration_watch_.start();
-    upstream_watch_.start();
-    domain_watch_.start();
-    registration_.start();
     host_watch_.start();
+    reading_timer_.set_after(gateway_constants::host_list_wait);
     on_heartbeat_due();
     log_timer_.set_after(gateway_constants::log_flush_interval);
 }
@@ -200,7 +208,7 @@
         log_level::info, "leaving",
         {{"caller_connections", static_cast<std::uint64_t>(caller_server_.session_count())}});
     caller_server_.start_draining();
-    peers_.set_own_state(false, false);
+    peers_.set_own_state(false, false, reads_store());
     on_heartbeat_due();
     check_leave_progress();
 }
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -19,6 +19,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace ebonywick {
@@ -47,9 +48,15 @@
     void on_directory(http_exchange exchange);
     void on_metrics(http_exchange exchange);
     void on_control(http_exchange exchange);
-    // While the store is out of contact, reads the snapshot of a host that knows newer
-    // changes.
-    void read_peer_snapshot(time_point now);
+    // Registers this host once the list of hosts is known, or is not known in time.
+    void begin_registration();
+    // Starts reading the store, or lets the relays of a large fleet pass on its state. Called
+    // when the other hosts had time to register.
+    void begin_reading();
+    void start_watches();
+    // Reads newer changes from another host: if this one does not watch the store, or if they
+    // have not arrived from the store.
+    void follow_peers(time_point now);
     void adopt_snapshot(const endpoint& source, const std::optional<http_message>& reply);
     void refuse(http_exchange& exchange, int status, std::string_view reason,
                 std::string_view request_id);
@@ -67,6 +74,10 @@
     // Sets this host's share of the rate of calls that cold upstreams of a service can take.
     void divide_cold_rates();
     [[nodiscard]] applied_revisions applied() const;
+    // Revisions of the local copies.
+    [[nodiscard]] applied_revisions known() const;
+    // Watches the store and is in contact with it.
+    [[nodiscard]] bool reads_store() const;
     void check_leave_progress();
     [[nodiscard]] collection_handlers handlers_for(
         const std::function<void(const std::vector<platform::stored_item>&, bool is_full_list)>&
@@ -104,6 +115,19 @@
     http_server control_server_;
     http_channel snapshot_channel_;
     time_point next_snapshot_read_{};
+    // The host whose snapshot could not be read last.
+    std::optional<endpoint> failed_snapshot_source_;
+    // Since when another host has had changes that this one lacks; time_point::max() if none has.
+    time_point behind_since_ = time_point::max();
+    // Relays pass on the state of the store; this host does not watch it.
+    bool follows_ = false;
+    // When another live host was last known to read the store.
+    time_point other_reader_seen_{};
+    bool registration_begun_ = false;
+    // When begin_reading() was called.
+    time_point reading_since_{};
+    bool reading_begun_ = false;
+    loop_timer reading_timer_;
     loop_timer heartbeat_timer_;
     time_point started_at_{};
     // When the next heartbeat is due; its lateness shows how busy the event loop is.
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -137,19 +137,15 @@
 
 void gateway::on_control(http_exchange exchange)
 {
-    if (exchange.request().target != snapshot_path) {
+    if (!is_snapshot_target(exchange.request().target)) {
         refuse(exchange, status_not_found, "unknown_path", "");
         return;
     }
-    const auto page = [](const collection_watch& of) {
-        platform::collection_page out;
-        out.revision = of.revision();
-        for (const auto& [name, it] : of.items())
-            out.items.push_back(it);
-        return out;
-    };
-    exchange.answer(encode_snapshot_answer(
-                        {page(configuration_watch_), page(upstream_watch_), page(domain_watch_)}),
+    const applied_revisions known = decode_snapshot_target(exchange.request().target);
+    exchange.answer(encode_snapshot_answer({configuration_watch_.copy().since(known.configuration),
+                                            upstream_watch_.copy().since(known.upstreams),
+                                            domain_watch_.copy().since(known.domains),
+                                            host_watch_.copy().since(known.hosts)}),
                     after_answer::keep_open);
 }
 
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -24,12 +24,14 @@
 void gateway::on_heartbeat_due()
 {
     const time_point now = timers_.now();
-    const duration interval = peers_.heartbeat_interval();
+    const duration interval = configuration_watch_.complete()
+                                  ? peers_.heartbeat_interval()
+                                  : gateway_constants::starting_heartbeat_interval;
     const duration late = heartbeat_due_ != time_point{} ? now - heartbeat_due_ : duration::zero();
     strained_ = late > strained_heartbeat_delay;
-    if (late > interval)
+    if (late > peers_.heartbeat_interval())
         ignore_datagrams_until_ = now + stalled_datagram_time;
-    peers_.set_own_state(ready(), strained_);
+    peers_.set_own_state(ready(), strained_, reads_store());
     peers_.update_relays(now);
     sharing_hosts_ = peers_.limit_divisor(now);
     budget_.set_host_count(sharing_hosts_);
@@ -44,7 +46,7 @@
     heartbeat_link_.send({own_heartbeat(), 0, 0, {}}, peers_.heartbeat_targets(leaving));
     query_relays(now);
     update_watch_freshness(now);
-    read_peer_snapshot(now);
+    follow_peers(now);
     if (is_entry_host_)
         warm_connections();
     pool_.trim();
@@ -55,7 +57,7 @@
 host_heartbeat gateway::own_heartbeat() const
 {
     const bool leaving = leaving_since_ != time_point::max();
-    return {settings_.host, incarnation_, ready(), leaving, strained_, applied()};
+    return {settings_.host, incarnation_, ready(), leaving, strained_, applied(), reads_store()};
 }
 
 void gateway::query_relays(time_point now)
@@ -79,6 +81,8 @@
             return;
         peers_.record_digest(message.digest, round_trip, now);
         queries_.answered(message.heartbeat.id, now);
+        if (!reads_store())
+            follow_peers(now);
     }
     if (message.query != 0)
         heartbeat_link_.send({own_heartbeat(), 0, message.query, peers_.digest(now)}, {from});
@@ -86,24 +90,53 @@
 
 applied_revisions gateway::applied() const
 {
-    return {configuration_watch_.newest_change(), upstream_watch_.newest_change(),
-            domain_watch_.newest_change(), host_watch_.newest_change()};
+    return {configuration_watch_.copy().newest_change(), upstream_watch_.copy().newest_change(),
+            domain_watch_.copy().newest_change(), host_watch_.copy().newest_change()};
+}
+
+applied_revisions gateway::known() const
+{
+    return {configuration_watch_.copy().revision(), upstream_watch_.copy().revision(),
+            domain_watch_.copy().revision(), host_watch_.copy().revision()};
+}
+
+bool gateway::reads_store() const
+{
+    return !follows_ && configuration_watch_.in_contact() && upstream_watch_.in_contact() &&
+           domain_watch_.in_contact();
 }
 
 void gateway::update_watch_freshness(time_point now)
 {
-    // A few hosts read the newest state of the store. The others use stale reads, which are
-    // cheaper, and read the newest state only when a heartbeat shows a change that they have
-    // not got. The lists at the start read the newest state on every host (except those of
-    // domains and hosts), so the watches may lag until heartbeats have arrived.
+    // A few hosts read the newest state of the store. The other relays use stale reads, which
+    // are cheaper, and get a change that is late from a host that has it. All other hosts get
+    // all changes from relays, as long as these answer and one of them reads the store. The
+    // lists at the start read the newest state, so the watches may lag until heartbeats have
+    // arrived.
     const bool others_heard = now - started_at_ > gateway_constants::peer_discovery_time;
     const auto needed =
-        others_heard && peers_.ranks_among_first(gateway_constants::newest_reader_count, now)
+        others_heard && peers_.is_newest_reader(gateway_constants::newest_reader_count, now)
             ? platform::freshness::newest
             : platform::freshness::stale_ok;
-    configuration_watch_.set_freshness(needed);
-    upstream_watch_.set_freshness(needed);
-    domain_watch_.set_freshness(needed);
+    const bool other_readers = peers_.other_readers(now);
+    if (other_readers)
+        other_reader_seen_ = now;
+    const bool follows = !peers_.is_relay() &&
+                         now - other_reader_seen_ < gateway_constants::readerless_follow_time &&
+                         now - queries_.last_answer() < gateway_constants::relay_answer_timeout;
+    const bool probes = peers_.ranks_among_first(gateway_constants::outage_prober_count, now);
+    if (follows != follows_)
+        log_.write(log_level::info, "state_source", {{"source", follows ? "relays" : "store"}});
+    follows_ = follows;
+    const auto source = follows ? change_source::other_hosts : change_source::store;
+    for (collection_watch* it :
+         {&configuration_watch_, &upstream_watch_, &domain_watch_, &host_watch_}) {
+        it->set_other_readers(other_readers);
+        it->set_source(source);
+        it->set_freshness(needed);
+        it->set_max_retry_pause(probes ? gateway_constants::max_store_retry_pause
+                                       : gateway_constants::max_idle_store_retry_pause);
+    }
     // Uses the changes that were known at the previous heartbeat, so that a change has one
     // heartbeat interval to arrive by the watch.
     configuration_watch_.catch_up(newest_peer_changes_.configuration);
@@ -112,25 +145,73 @@
     newest_peer_changes_ = peers_.newest_applied();
 }
 
-void gateway::read_peer_snapshot(time_point now)
+void gateway::begin_registration()
+{
+    if (std::exchange(registration_begun_, true))
+        return;
+    const auto& hosts = host_watch_.copy().items();
+    const auto own = hosts.find(settings_.host.value());
+    const bool registered = own != hosts.end();
+    registration_.start(registered ? decode_host_record(own->first, own->second.content)
+                                   : std::nullopt);
+    if (registered || !host_watch_.complete())
+        begin_reading();
+    else
+        reading_timer_.set_after(gateway_constants::registration_wait);
+}
+
+void gateway::begin_reading()
+{
+    reading_begun_ = true;
+    reading_since_ = timers_.now();
+    on_heartbeat_due();
+    if (peers_.is_relay())
+        start_watches();
+    else
+        reading_timer_.set_after(gateway_constants::relayed_start_wait);
+}
+
+void gateway::start_watches()
+{
+    const time_point now = timers_.now();
+    const time_point latest = reading_since_ + gateway_constants::answered_start_wait;
+    if (!configuration_watch_.complete() && !peers_.is_relay() &&
+        queries_.last_answer() != time_point{} && now < latest) {
+        reading_timer_.set(latest);
+        return;
+    }
+    configuration_watch_.start();
+    upstream_watch_.start();
+    domain_watch_.start();
+}
+
+void gateway::follow_peers(time_point now)
 {
-    const bool in_contact = configuration_watch_.in_contact() && upstream_watch_.in_contact() &&
-                            domain_watch_.in_contact();
-    if (in_contact || snapshot_channel_.busy() || now < next_snapshot_read_)
+    const auto ahead = peers_.hosts_ahead_of(known(), now);
+    behind_since_ = ahead.empty() ? time_point::max() : std::min(behind_since_, now);
+    if (snapshot_channel_.busy() || now < next_snapshot_read_)
+        return;
+    if (reads_store() && (ahead.empty() || now - behind_since_ < gateway_constants::follow_delay))
         return;
     std::vector<endpoint> sources;
-    for (const host_record& it : peers_.hosts_ahead_of(applied(), now))
-        sources.push_back(it.control);
+    // Hosts of the own failure domain come first, and are enough.
+    for (const host_record& it : ahead) {
+        if (it.domain != settings_.domain && !sources.empty())
+            break;
+        if (it.control != failed_snapshot_source_)
+            sources.push_back(it.control);
+    }
     // A host that has just started knows no other hosts yet and asks the configured seeds.
     if (sources.empty() && !configuration_watch_.complete())
         std::copy_if(settings_.seeds.begin(), settings_.seeds.end(), std::back_inserter(sources),
                      [&](const endpoint& it) { return it != settings_.control; });
+    failed_snapshot_source_.reset();
     if (sources.empty())
         return;
-    next_snapshot_read_ = now + gateway_constants::snapshot_read_pause;
+    next_snapshot_read_ = now + gateway_constants::snapshot_read_interval;
     const endpoint source = sources[random_.below(sources.size())];
     snapshot_channel_.set_server(source);
-    snapshot_channel_.call(encode_snapshot_request(source),
+    snapshot_channel_.call(encode_snapshot_request(source, known()),
                            gateway_constants::snapshot_read_timeout,
                            [this, source](const std::optional<http_message>& reply) {
                                adopt_snapshot(source, reply);
@@ -140,16 +221,28 @@
 void gateway::adopt_snapshot(const endpoint& source, const std::optional<http_message>& reply)
 {
     const auto snapshot = reply ? decode_snapshot(reply->body) : std::nullopt;
+    std::string adopted;
+    const auto adopt = [&](collection_watch& into, const std::optional<collection_update>& update,
+                           std::string_view name) {
+        if (update && into.adopt(*update))
+            adopted += (adopted.empty() ? "" : ",") + std::string{name};
+    };
+    if (snapshot) {
+        // Hosts last: they decide how this host gets further changes.
+        adopt(configuration_watch_, snapshot->configuration, "configuration");
+        adopt(upstream_watch_, snapshot->upstreams, "upstreams");
+        adopt(domain_watch_, snapshot->domains, "domains");
+        adopt(host_watch_, snapshot->hosts, "hosts");
+    } else {
+        failed_snapshot_source_ = source;
+        next_snapshot_read_ = timers_.now() + gateway_constants::snapshot_read_pause;
+    }
     log_.write(log_level::info, "state_read",
                {{"from", to_string(source)},
                 {"outcome", snapshot ? "read" : "failed"},
-                {"configuration", snapshot ? snapshot->configuration.revision : 0},
-                {"upstreams", snapshot ? snapshot->upstreams.revision : 0}});
-    if (!snapshot)
-        return;
-    configuration_watch_.adopt(snapshot->configuration);
-    upstream_watch_.adopt(snapshot->upstreams);
-    domain_watch_.adopt(snapshot->domains);
+                {"adopted", adopted},
+                {"configuration", configuration_watch_.copy().revision()},
+                {"upstreams", upstream_watch_.copy().revision()}});
 }
 
 void gateway::warm_connections()
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -89,6 +89,7 @@
         if (!present.contains(it))
             peers_.remove(it);
     }
+    begin_registration();
 }
 
 } // namespace ebonywick
--- a/src/libs/gateway/hostregistration.cpp
+++ b/src/libs/gateway/hostregistration.cpp
@@ -11,24 +11,33 @@
 } // namespace
 
 host_registration::host_registration(boost::asio::io_context& loop, timer_queue& timers,
-                                     const endpoint& store, std::string name, std::string content,
+                                     const endpoint& store, host_record own,
                                      std::function<void()> on_registered)
-    : store_(store), name_(std::move(name)), content_(std::move(content)),
-      on_registered_(std::move(on_registered)), timers_(timers), channel_(loop, timers, store),
-      pause_timer_(timers, [this] { write(); })
+    : store_(store), own_(std::move(own)), on_registered_(std::move(on_registered)),
+      timers_(timers), channel_(loop, timers, store), pause_timer_(timers, [this] { write(); })
 {
 }
 
-void host_registration::start()
+void host_registration::start(const std::optional<host_record>& existing)
 {
+    if (existing && existing->incarnation < own_.incarnation) {
+        host_record same = *existing;
+        same.incarnation = own_.incarnation;
+        if (same == own_) {
+            done_ = true;
+            on_registered_();
+            return;
+        }
+    }
+    create_next_ = !existing;
     write();
 }
 
 void host_registration::write()
 {
     retry_.call_started(timers_.now());
-    channel_.call(platform::encode_write(platform::store_collection::hosts, name_, content_,
-                                         create_next_, store_),
+    channel_.call(platform::encode_write(platform::store_collection::hosts, own_.id.value(),
+                                         encode_host_record(own_), create_next_, store_),
                   write_timeout, [this](const std::optional<http_message>& reply) {
                       if (reply && reply->status >= 200 && reply->status < 300) {
                           done_ = true;
@@ -51,14 +60,4 @@
                   });
 }
 
-void host_registration::withdraw()
-{
-    pause_timer_.cancel();
-    if (channel_.busy())
-        channel_.abort();
-    pause_timer_.cancel();
-    channel_.call(platform::encode_delete(platform::store_collection::hosts, name_, store_),
-                  write_timeout, [](const std::optional<http_message>& /*reply*/) {});
-}
-
 } // namespace ebonywick
--- a/src/libs/gateway/hostregistration.h
+++ b/src/libs/gateway/hostregistration.h
@@ -1,12 +1,13 @@
-// Writes the entry of this host into the store, once for each start of the process.
+// Writes the entry of this host into the store unless an earlier start has written it.
 #pragma once
 
 #include "gateway/httpchannel.h"
 #include "gateway/storeretry.h"
+#include "peers/hostrecord.h"
 #include "platform/storecodec.h"
 
 #include <functional>
-#include <string>
+#include <optional>
 
 namespace ebonywick {
 
@@ -16,19 +17,20 @@
 {
 public:
     host_registration(boost::asio::io_context& loop, timer_queue& timers, const endpoint& store,
-                      std::string name, std::string content, std::function<void()> on_registered);
+                      host_record own, std::function<void()> on_registered);
 
-    void start();
-    /// Deletes the entry. Not retried.
-    void withdraw();
+    /// `existing` is the entry of an earlier start. It is kept if only its incarnation differs,
+    /// because the other hosts learn the new one from heartbeats. An entry with a higher
+    /// incarnation, as after the clock went back, is replaced: the others would ignore the
+    /// heartbeats.
+    void start(const std::optional<host_record>& existing);
     [[nodiscard]] bool done() const { return done_; }
 
 private:
     void write();
 
     endpoint store_;
-    std::string name_;
-    std::string content_;
+    host_record own_;
     std::function<void()> on_registered_;
     timer_queue& timers_;
     http_channel channel_;
--- a/src/libs/gateway/storeretry.h
+++ b/src/libs/gateway/storeretry.h
@@ -30,18 +30,21 @@
     [[nodiscard]] duration pause_after_failure(time_point now)
     {
         const auto shift = std::min<std::uint32_t>(failures_++, max_shift);
-        const duration interval = std::min(gateway_constants::max_store_retry_pause,
-                                           gateway_constants::min_store_retry_pause * (1 << shift));
+        const duration interval =
+            std::min(max_pause_, gateway_constants::min_store_retry_pause * (1 << shift));
         return std::max(gateway_constants::min_store_retry_pause, interval - (now - started_at_));
     }
+    /// Sets the upper bound of the interval between two calls.
+    void set_max_pause(duration pause) { max_pause_ = pause; }
     /// Number of failures since the last success.
     [[nodiscard]] std::uint32_t failures() const { return failures_; }
 
 private:
-    // Keeps the shift in range; the interval has reached max_store_retry_pause before.
+    // Keeps the shift in range; the interval has reached its upper bound before.
     static constexpr std::uint32_t max_shift = 8;
 
     std::uint32_t failures_ = 0;
+    duration max_pause_ = gateway_constants::max_store_retry_pause;
     time_point started_at_{};
 };
 
--- a/src/libs/gateway/storesnapshot.cpp
+++ b/src/libs/gateway/storesnapshot.cpp
@@ -6,45 +6,95 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 namespace ebonywick {
 
 namespace {
 
 using json = nlohmann::json;
 
-json encode(const platform::collection_page& page)
+// Names of the collections in the query of a request and in the body of an answer.
+constexpr std::string_view configuration_key = "configuration";
+constexpr std::string_view upstreams_key = "upstreams";
+constexpr std::string_view domains_key = "domains";
+constexpr std::string_view hosts_key = "hosts";
+
+void encode(json& into, std::string_view key, const std::optional<collection_update>& update)
 {
+    if (!update)
+        return;
     json items = json::array();
-    for (const platform::stored_item& it : page.items)
-        items.push_back({{"name", it.name}, {"revision", it.revision}, {"content", it.content}});
-    return {{"revision", page.revision}, {"items", std::move(items)}};
+    for (const platform::stored_item& it : update->page.items) {
+        json item{{"name", it.name}, {"revision", it.revision}, {"content", it.content}};
+        if (it.deleted)
+            item["deleted"] = true;
+        items.push_back(std::move(item));
+    }
+    into[std::string{key}] = {
+        {"from", update->from}, {"revision", update->page.revision}, {"items", std::move(items)}};
 }
 
-platform::collection_page decode(const json& node)
+std::optional<collection_update> decode(const json& document, std::string_view key)
 {
-    platform::collection_page out;
-    out.revision = node.at("revision").get<std::uint64_t>();
-    for (const json& it : node.at("items")) {
-        out.items.push_back({it.at("name").get<std::string>(),
-                             it.at("revision").get<std::uint64_t>(), false,
-                             it.at("content").get<std::string>()});
+    const auto node = document.find(key);
+    if (node == document.end())
+        return std::nullopt;
+    collection_update out;
+    out.from = node->value("from", std::uint64_t{0});
+    out.page.revision = node->at("revision").get<std::uint64_t>();
+    for (const json& it : node->at("items")) {
+        out.page.items.push_back({it.at("name").get<std::string>(),
+                                  it.at("revision").get<std::uint64_t>(),
+                                  it.value("deleted", false), it.at("content").get<std::string>()});
     }
     return out;
 }
 
+std::uint64_t query_number(std::string_view target, std::string_view key)
+{
+    const std::string name = fmt::format("{}=", key);
+    std::size_t at = target.find(name);
+    // The name must follow the question mark or an ampersand.
+    while (at != std::string_view::npos &&
+           (at == 0 || (target[at - 1] != '?' && target[at - 1] != '&')))
+        at = target.find(name, at + 1);
+    if (at == std::string_view::npos)
+        return 0;
+    const std::string_view text = target.substr(at + name.size());
+    std::uint64_t out = 0;
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
 } // namespace
 
-std::string encode_snapshot_request(const endpoint& host)
+std::string encode_snapshot_request(const endpoint& host, const applied_revisions& known)
+{
+    return fmt::format("GET {}?{}={}&{}={}&{}={}&{}={} HTTP/1.1\r\nHost: {}\r\n\r\n", snapshot_path,
+                       configuration_key, known.configuration, upstreams_key, known.upstreams,
+                       domains_key, known.domains, hosts_key, known.hosts, to_string(host));
+}
+
+bool is_snapshot_target(std::string_view target)
+{
+    return target.substr(0, target.find('?')) == snapshot_path;
+}
+
+applied_revisions decode_snapshot_target(std::string_view target)
 {
-    return fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", snapshot_path, to_string(host));
+    return {query_number(target, configuration_key), query_number(target, upstreams_key),
+            query_number(target, domains_key), query_number(target, hosts_key)};
 }
 
 std::string encode_snapshot_answer(const store_snapshot& snapshot)
 {
-    const std::string body = json{{"configuration", encode(snapshot.configuration)},
-                                  {"upstreams", encode(snapshot.upstreams)},
-                                  {"domains", encode(snapshot.domains)}}
-                                 .dump(-1, ' ', false, json::error_handler_t::replace);
+    json document = json::object();
+    encode(document, configuration_key, snapshot.configuration);
+    encode(document, upstreams_key, snapshot.upstreams);
+    encode(document, domains_key, snapshot.domains);
+    encode(document, hosts_key, snapshot.hosts);
+    const std::string body = document.dump(-1, ' ', false, json::error_handler_t::replace);
     std::string out = "HTTP/1.1 200 OK\r\n";
     append_field(out, "Content-Type", "application/json");
     append_field(out, "Content-Length", std::to_string(body.size()));
@@ -55,8 +105,10 @@
 {
     try {
         const json document = json::parse(body);
-        return store_snapshot{decode(document.at("configuration")),
-                              decode(document.at("upstreams")), decode(document.at("domains"))};
+        if (!document.is_object())
+            return std::nullopt;
+        return store_snapshot{decode(document, configuration_key), decode(document, upstreams_key),
+                              decode(document, domains_key), decode(document, hosts_key)};
     } catch (const json::exception&) {
         return std::nullopt;
     }
--- a/src/libs/gateway/storesnapshot.h
+++ b/src/libs/gateway/storesnapshot.h
@@ -1,7 +1,8 @@
-// Snapshot of store collections that a host offers to hosts which cannot reach the store.
+// What a host passes on of the store's collections to other hosts.
 #pragma once
 
-#include "platform/storecodec.h"
+#include "gateway/collectioncopy.h"
+#include "peers/hostrecord.h"
 #include "settings/declaration.h"
 
 #include <compare>
@@ -14,18 +15,23 @@
 // On the control address of each host.
 inline constexpr std::string_view snapshot_path = "/v1/state";
 
-/// Local copies of the store collections on one host, each with its revision.
+/// Updates of the collections; nothing for a collection of which the sender has no newer state.
 struct store_snapshot
 {
-    platform::collection_page configuration;
-    platform::collection_page upstreams;
-    platform::collection_page domains;
+    std::optional<collection_update> configuration;
+    std::optional<collection_update> upstreams;
+    std::optional<collection_update> domains;
+    std::optional<collection_update> hosts;
 
     auto operator<=>(const store_snapshot&) const = default;
 };
 
-/// HTTP request for the snapshot of `host`.
-[[nodiscard]] std::string encode_snapshot_request(const endpoint& host);
+/// HTTP request to `host` for what is newer than `known`, the revisions of the sender's copies.
+[[nodiscard]] std::string encode_snapshot_request(const endpoint& host,
+                                                  const applied_revisions& known);
+/// Revisions in the target of such a request; 0 for those that it does not state.
+[[nodiscard]] applied_revisions decode_snapshot_target(std::string_view target);
+[[nodiscard]] bool is_snapshot_target(std::string_view target);
 /// HTTP answer with the snapshot as JSON body.
 [[nodiscard]] std::string encode_snapshot_answer(const store_snapshot& snapshot);
 /// Decodes the body of the answer; empty if it is not a snapshot.
--- a/src/libs/peers/hostrecord.cpp
+++ b/src/libs/peers/hostrecord.cpp
@@ -17,7 +17,8 @@
 constexpr std::uint32_t ready_bit = 1;
 constexpr std::uint32_t leaving_bit = 2;
 constexpr std::uint32_t strained_bit = 4;
-constexpr std::uint32_t age_unit = 8;
+constexpr std::uint32_t reads_store_bit = 8;
+constexpr std::uint32_t age_unit = 16;
 // Keeps an encoded age within 32 bits. Such an old entry counts as silent in any case.
 constexpr std::int64_t max_age_ms = 100'000;
 
@@ -26,7 +27,8 @@
     const auto age_ms = std::clamp<std::int64_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(it.age).count(), 0, max_age_ms);
     return static_cast<std::uint32_t>(age_ms) * age_unit + (it.ready ? ready_bit : 0) +
-           (it.leaving ? leaving_bit : 0) + (it.strained ? strained_bit : 0);
+           (it.leaving ? leaving_bit : 0) + (it.strained ? strained_bit : 0) +
+           (it.reads_store ? reads_store_bit : 0);
 }
 
 } // namespace
@@ -81,6 +83,7 @@
     out.set_upstreams(heartbeat.applied.upstreams);
     out.set_domains(heartbeat.applied.domains);
     out.set_hosts(heartbeat.applied.hosts);
+    out.set_reads_store(heartbeat.reads_store);
     out.set_query(message.query);
     out.set_answered_query(message.answered_query);
     for (const digest_entry& it : message.digest) {
@@ -101,14 +104,16 @@
     peer_message out;
     out.heartbeat = {host_id{in.host()}, in.incarnation(),
                      in.ready(),         in.leaving(),
-                     in.strained(),      {in.config(), in.upstreams(), in.domains(), in.hosts()}};
+                     in.strained(),      {in.config(), in.upstreams(), in.domains(), in.hosts()},
+                     in.reads_store()};
     out.query = in.query();
     out.answered_query = in.answered_query();
     for (int it = 0; it < in.digest_host_size(); ++it) {
         const std::uint32_t state = in.digest_state(it);
         out.digest.push_back({in.digest_host(it), in.digest_incarnation(it),
                               std::chrono::milliseconds{state / age_unit}, (state & ready_bit) != 0,
-                              (state & leaving_bit) != 0, (state & strained_bit) != 0});
+                              (state & leaving_bit) != 0, (state & strained_bit) != 0,
+                              (state & reads_store_bit) != 0});
     }
     return out;
 }
--- a/src/libs/peers/hostrecord.h
+++ b/src/libs/peers/hostrecord.h
@@ -60,6 +60,8 @@
     // Overloaded: the event loop lags, so the host should not get more requests.
     bool strained = false;
     applied_revisions applied;
+    // Watches the store and is in contact with it.
+    bool reads_store = false;
 
     auto operator<=>(const host_heartbeat&) const = default;
 };
@@ -76,6 +78,7 @@
     bool ready = false;
     bool leaving = false;
     bool strained = false;
+    bool reads_store = false;
 
     auto operator<=>(const digest_entry&) const = default;
 };
--- a/src/libs/peers/peertable.cpp
+++ b/src/libs/peers/peertable.cpp
@@ -114,7 +114,8 @@
                                  .ready = it.ready,
                                  .leaving = it.leaving,
                                  .strained = it.strained,
-                                 .applied = {}};
+                                 .applied = {},
+                                 .reads_store = it.reads_store};
         if (of.last_heartbeat && of.last_heartbeat->incarnation == heartbeat.incarnation)
             heartbeat.applied = of.last_heartbeat->applied;
         update_state(of, heartbeat, heard_at);
@@ -130,7 +131,8 @@
             continue;
         const host_heartbeat& last = *it.last_heartbeat;
         out.push_back({digest_hash(id), static_cast<std::uint32_t>(last.incarnation),
-                       now - it.last_heartbeat_at, last.ready, last.leaving, last.strained});
+                       now - it.last_heartbeat_at, last.ready, last.leaving, last.strained,
+                       last.reads_store});
     }
     return out;
 }
@@ -204,10 +206,11 @@
     return out;
 }
 
-void peer_table::set_own_state(bool ready, bool strained)
+void peer_table::set_own_state(bool ready, bool strained, bool reads_store)
 {
     own_ready_ = ready;
     own_strained_ = strained;
+    own_reads_store_ = reads_store;
 }
 
 duration peer_table::heartbeat_interval() const
@@ -289,6 +292,32 @@
     return std::find(all.begin(), end, &self_) != end;
 }
 
+bool peer_table::reads_store(const host_record& it) const
+{
+    const auto found = peers_.find(it.id);
+    return found == peers_.end() ? own_reads_store_ : found->second.last_heartbeat->reads_store;
+}
+
+bool peer_table::is_newest_reader(std::size_t count, time_point now) const
+{
+    for (const host_record* it : ranked_hosts(now, false)) {
+        if (!reads_store(*it))
+            continue;
+        if (it == &self_)
+            return true;
+        if (--count == 0)
+            return false;
+    }
+    return false;
+}
+
+bool peer_table::other_readers(time_point now) const
+{
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        return is_alive(entry.second, now) && entry.second.last_heartbeat->reads_store;
+    });
+}
+
 std::size_t peer_table::limit_divisor(time_point now)
 {
     if (peers_.empty())
--- a/src/libs/peers/peertable.h
+++ b/src/libs/peers/peertable.h
@@ -27,8 +27,8 @@
     /// `self` is the registration of this host.
     explicit peer_table(host_record self) : self_(std::move(self)) {}
 
-    /// Sets the state of this host for the selection of entry hosts.
-    void set_own_state(bool ready, bool strained);
+    /// Sets the state of this host for the selection of entry hosts and readers.
+    void set_own_state(bool ready, bool strained, bool reads_store);
 
     /// Adds or updates a registered host; ignored for this host.
     void upsert(const host_record& record, time_point now);
@@ -63,6 +63,11 @@
     /// True if this host is one of the first `count` live hosts in the ranking, which is the same
     /// at all hosts.
     [[nodiscard]] bool ranks_among_first(std::size_t count, time_point now) const;
+    /// True if this host is one of the first `count` live hosts in contact with the store; these
+    /// read its newest state.
+    [[nodiscard]] bool is_newest_reader(std::size_t count, time_point now) const;
+    /// True if another live host is in contact with the store.
+    [[nodiscard]] bool other_readers(time_point now) const;
     /// Number of hosts among which the limits of the fleet are divided, with this one: the entry
     /// hosts and a margin for changes of their selection. At least 1.
     [[nodiscard]] std::size_t limit_divisor(time_point now);
@@ -97,6 +102,8 @@
     // Accepts a heartbeat unless it belongs to an earlier incarnation.
     static void update_state(peer& of, const host_heartbeat& heartbeat, time_point heard_at);
     [[nodiscard]] duration heartbeat_timeout() const;
+    // `it` is this host or one with a heartbeat.
+    [[nodiscard]] bool reads_store(const host_record& it) const;
     // A host that was expected to send heartbeats and has not for the timeout.
     [[nodiscard]] bool is_silent(const peer& it, time_point now) const;
     // Sorts by processor share, strongest first; hosts of equal strength alternate between the
@@ -109,6 +116,7 @@
     host_record self_;
     bool own_ready_ = false;
     bool own_strained_ = false;
+    bool own_reads_store_ = false;
     // Until then more entry hosts are selected, because most of them were overloaded.
     time_point extended_until_{};
     std::map<host_id, peer> peers_;
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -142,6 +142,18 @@
         wait_until([this] { return get(settings.readiness, "/ebonywick/ready").status == 200; });
     }
 
+    /// Settings of another host, with addresses of its own.
+    gateway_settings other_host(const std::string& id) const
+    {
+        gateway_settings out = settings;
+        out.host = host_id{id};
+        out.seeds = {settings.control};
+        for (endpoint* it : {&out.callers, &out.readiness, &out.directory, &out.heartbeats,
+                             &out.control, &out.metrics})
+            *it = free_address();
+        return out;
+    }
+
     /// Runs the event loop until the condition holds; false if it does not within 10 s.
     bool wait_until(const std::function<bool()>& reached)
     {
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -2,6 +2,7 @@
 #include "gatewayfixture.h"
 
 #include "base/hashing.h"
+#include "gateway/constants.h"
 
 #include <criterion/criterion.h>
 
@@ -240,6 +241,98 @@
     cr_assert(f.store.calls() - before < 60);
 }
 
+// The same on several hosts. Failure: all hosts read the newest state after the gap, which sent
+// 13,000 calls a day in a large installation, or those that do not read it miss changes.
+Test(gateway, few_hosts_read_the_store_after_a_gap)
+{
+    gateway_fixture f;
+    f.start_ready();
+    std::vector<gateway_settings> settings;
+    std::vector<std::unique_ptr<gateway>> others;
+    for (int it = 2; it <= 8; ++it) {
+        settings.push_back(f.other_host("h" + std::to_string(it)));
+        others.push_back(std::make_unique<gateway>(f.loop, f.timers, settings.back(), f.log,
+                                                   static_cast<std::uint64_t>(it)));
+        others.back()->start();
+    }
+    const auto all_answer = [&](int status) {
+        return std::all_of(settings.begin(), settings.end(), [&](const auto& it) {
+            return f.call(it.callers, f.request_text("GET", "/q/x", "r")).status == status;
+        });
+    };
+    cr_assert(f.wait_until([&] { return all_answer(200); }));
+    // The hosts agree on who reads the newest state.
+    f.run(4s);
+    f.store.set_faults({.lag = 3});
+    f.store.forget_history();
+    f.store.cut_watches();
+    const auto before = f.store.calls();
+    constexpr int changes = 10;
+    for (int it = 0; it < changes; ++it) {
+        f.entries[0]["slots"] = 5 + it;
+        f.store.put("servers", f.ids[0], f.entries[0]);
+        f.run(300ms);
+    }
+    // A reader calls for each change, and lists and watches each of four collections.
+    constexpr std::size_t readers = 3;
+    constexpr std::size_t calls_of_reader = changes + 8;
+    // Another host has a stale watch of each collection, and repeats it once in this time.
+    constexpr std::size_t calls_of_other = 8;
+    const auto calls = f.store.calls() - before;
+    cr_assert(calls <= readers * calls_of_reader + 5 * calls_of_other, "%zu calls",
+              static_cast<std::size_t>(calls));
+    auto next = f.configuration(2);
+    next["routes"].erase(0);
+    f.store.put("config", "main", next);
+    f.run(2500ms);
+    cr_assert(all_answer(404));
+}
+
+// Failure: every watch of every host calls a store that is out of service, several times a
+// second.
+Test(gateway, outage_is_probed_with_one_collection)
+{
+    gateway_fixture f;
+    f.start_ready();
+    f.store.set_faults({.refuse_with = 503});
+    f.store.cut_watches();
+    const auto before = f.store.calls();
+    f.run(3s);
+    // Each of the four watches fails once; one of them goes on.
+    const auto probes = static_cast<std::size_t>(3s / gateway_constants::max_store_retry_pause) + 3;
+    cr_assert(f.store.calls() - before <= 4 + probes);
+    f.store.set_faults({});
+    auto next = f.configuration(2);
+    next["routes"].erase(1);
+    f.store.put("config", "main", next);
+    f.store.put("evacuations", "z0", json::object());
+    f.run(1200ms);
+    cr_assert(f.order("o").status == 404);
+}
+
+// Failure: a restart writes the host's unchanged entry again, which costs a write and wakes all
+// other hosts; or an entry that would make the others ignore this host is kept.
+Test(gateway, entry_of_an_earlier_start_is_kept)
+{
+    for (const bool outdated : {true, false}) {
+        gateway_fixture f;
+        f.publish();
+        host_record record{.id = f.settings.host,
+                           .incarnation = outdated ? 1U : 9'000'000'000'000U,
+                           .callers = f.settings.callers,
+                           .heartbeats = f.settings.heartbeats,
+                           .control = f.settings.control,
+                           .domain = f.settings.domain,
+                           .processor_share = f.settings.processor_share};
+        const auto written =
+            f.store.put("entry-hosts", "h1", json::parse(encode_host_record(record)));
+        f.start();
+        cr_assert(f.wait_until([&] { return f.query("r").status == 200; }));
+        f.run(300ms);
+        cr_assert((f.store.revision() == written) == outdated);
+    }
+}
+
 // Failure: a host is registered twice or not at all because replies of the store are lost.
 Test(gateway, registers_although_store_replies_are_lost)
 {
@@ -300,12 +393,7 @@
     f.start_ready();
     f.store.set_faults({.refuse_with = 503});
     f.store.cut_watches();
-    gateway_settings second = f.settings;
-    second.host = host_id{"h2"};
-    second.seeds = {f.settings.control};
-    for (endpoint* it : {&second.callers, &second.readiness, &second.directory, &second.heartbeats,
-                         &second.control, &second.metrics})
-        *it = free_address();
+    const gateway_settings second = f.other_host("h2");
     gateway other{f.loop, f.timers, second, f.log, 6};
     other.start();
     const auto ask = [&](const std::string& id) {
--- a/tests/auto/peers/peerfleet.h
+++ b/tests/auto/peers/peerfleet.h
@@ -65,7 +65,7 @@
     void send_heartbeats(std::size_t from)
     {
         host& it = *hosts[from];
-        it.table.set_own_state(!it.leaving, false);
+        it.table.set_own_state(!it.leaving, false, true);
         it.table.update_relays(now);
         for (const endpoint& to : it.table.heartbeat_targets(it.leaving))
             deliver(from, to.port - 1U, {heartbeat_of(it), 0, 0, {}});
@@ -109,7 +109,7 @@
 private:
     [[nodiscard]] host_heartbeat heartbeat_of(const host& it) const
     {
-        return {it.record.id, it.record.incarnation, true, it.leaving, false, {}};
+        return {it.record.id, it.record.incarnation, true, it.leaving, false, {}, true};
     }
     void deliver(std::size_t from, std::size_t to, const peer_message& message)
     {
--- a/tests/auto/peers/tst_peerfleet.cpp
+++ b/tests/auto/peers/tst_peerfleet.cpp
@@ -128,8 +128,13 @@
     peer_table& table = f.hosts[40]->table;
     const host_record& of = f.hosts[0]->record;
     table.update_relays(f.now);
-    const digest_entry old{
-        digest_hash(of.id), static_cast<std::uint32_t>(of.incarnation), 3s, true, false, false};
+    const digest_entry old{digest_hash(of.id),
+                           static_cast<std::uint32_t>(of.incarnation),
+                           3s,
+                           true,
+                           false,
+                           false,
+                           false};
     table.record_digest({&old, 1}, 200ms, f.now);
     cr_assert(table.entry_hosts(f.now).size() == 1);
     cr_assert(table.entry_hosts(f.now + 300ms).empty());
--- a/tests/auto/peers/tst_peertable.cpp
+++ b/tests/auto/peers/tst_peertable.cpp
@@ -104,7 +104,7 @@
 {
     peer_fixture f;
     cr_assert(f.table.limit_divisor(f.now) >= 17);
-    f.table.set_own_state(true, false);
+    f.table.set_own_state(true, false, true);
     for (const char* it : {"a", "b", "c"})
         f.table.upsert(record(it, 5, 1), f.now);
     for (const char* it : {"a", "b", "c"})
@@ -168,16 +168,37 @@
     int readers = 0;
     for (int self = 0; self < hosts; ++self) {
         peer_table table{record("h" + std::to_string(self), 5, 1)};
+        table.set_own_state(true, false, true);
         for (int it = 0; it < hosts; ++it) {
             table.upsert(record("h" + std::to_string(it), 5, 1), now);
-            table.record_heartbeat({host_id{"h" + std::to_string(it)}, 5, true, false, false, {}},
-                                   now);
+            table.record_heartbeat(
+                {host_id{"h" + std::to_string(it)}, 5, true, false, false, {}, true}, now);
         }
-        readers += table.ranks_among_first(3, now) ? 1 : 0;
+        readers += table.is_newest_reader(3, now) ? 1 : 0;
     }
     cr_assert(readers == 3);
 }
 
+// The store turns some hosts away and serves the others. Guards against newest reads by hosts that
+// cannot reach the store, so that nobody sees a change in time.
+Test(peer_table, hosts_without_the_store_are_no_readers)
+{
+    peer_fixture f;
+    f.table.set_own_state(true, false, true);
+    for (const char* it : {"a", "b", "c", "e"}) {
+        f.table.upsert(record(it, 5, 1, 0.5), f.now);
+        f.table.record_heartbeat({host_id{it}, 5, true, false, false, {}, false}, f.now);
+    }
+    cr_assert(f.table.is_newest_reader(3, f.now));
+    cr_assert(!f.table.other_readers(f.now));
+    for (const char* it : {"a", "b", "c"})
+        f.table.record_heartbeat({host_id{it}, 5, true, false, false, {}, true}, f.now);
+    cr_assert(!f.table.is_newest_reader(3, f.now));
+    cr_assert(f.table.other_readers(f.now));
+    f.table.set_own_state(true, false, false);
+    cr_assert(!f.table.is_newest_reader(3, f.now));
+}
+
 // Guards against encodings that lose fields, and against decoding invalid input.
 Test(peer_table, records_and_heartbeats_survive_encoding)
 {
@@ -185,10 +206,10 @@
     cr_assert(decode_host_record("a", encode_host_record(it)) == it);
     cr_assert(!decode_host_record("a", "[]"));
     cr_assert(!decode_host_record("a", R"({"callers":1})"));
-    peer_message message{{host_id{"a"}, 7, true, false, true, {42, 43, 44, 45}}, 46, 0, {}};
+    peer_message message{{host_id{"a"}, 7, true, false, true, {42, 43, 44, 45}, true}, 46, 0, {}};
     cr_assert(decode_peer_message(encode_peer_message(message)) == message);
     message.answered_query = 47;
-    message.digest = {{1, 2, 3s, true, false, true}, {4, 5, 60ms, false, true, false}};
+    message.digest = {{1, 2, 3s, true, false, true, true}, {4, 5, 60ms, false, true, false, false}};
     cr_assert(decode_peer_message(encode_peer_message(message)) == message);
     cr_assert(!decode_peer_message("\xff\xff\xff"));
     cr_assert(!decode_peer_message(""));
