gateway: a cut watch is no outage, a new reader does not wait

The store discarded its history and cut all watches at once. Every host lost its status as a reader of the newest state, read stale, found its history gone and waited 4 s for other hosts to pass on changes; version 8, acknowledged at 1.2 s, was in force at 6.3 to 8.9 s. Debug logs of the three readers show stale watches at 2.5 s and no further call until 6.5 s.

Ruled out: relays that did not answer; they had nothing newer.

Change: one failed call is no loss of the store. A host that becomes a reader, or learns that there is no other, ends its wait.

--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -36,7 +36,11 @@
     const bool stricter = needed == platform::freshness::newest &&
                           policy_.read_freshness != platform::freshness::newest;
     policy_.read_freshness = needed;
-    if (stricter)
+    if (!stricter)
+        return;
+    if (gap_pause_)
+        start_next_call();
+    else
         restart_call();
 }
 
@@ -96,7 +100,7 @@
 {
     const bool regained = exist && !other_readers_;
     other_readers_ = exist;
-    if (regained && store_unavailable_ && !channel_.busy())
+    if ((regained && store_unavailable_ && !channel_.busy()) || (!exist && gap_pause_))
         start_next_call();
 }
 
@@ -114,6 +118,7 @@
 void collection_watch::start_next_call()
 {
     pause_timer_.cancel();
+    gap_pause_ = false;
     if (!needs_list_ && source_ == change_source::other_hosts)
         return;
     if (!handlers_.may_call(collection_)) {
@@ -199,6 +204,7 @@
     if (policy_.read_freshness == platform::freshness::stale_ok && other_readers_) {
         // The hosts that read the newest state pass it on. If all hosts read it, a large fleet
         // would flood the store.
+        gap_pause_ = true;
         pause_timer_.set_after(gateway_constants::stale_read_pause_after_gap);
         return;
     }
@@ -237,6 +243,7 @@
     handlers_.call_ended("ok");
     retry_.succeeded();
     store_unavailable_ = false;
+    ever_in_contact_ = true;
     if (in_contact_)
         return;
     in_contact_ = true;
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -61,7 +61,11 @@
     void start();
     /// The complete collection is known, from a list or from another host.
     [[nodiscard]] bool complete() const { return copy_.complete(); }
-    [[nodiscard]] bool in_contact() const { return in_contact_; }
+    /// The store answers. One failed call does not count, because the store may cut watches.
+    [[nodiscard]] bool store_reachable() const
+    {
+        return ever_in_contact_ && retry_.failures() < max_failures_in_contact;
+    }
     [[nodiscard]] const collection_copy& copy() const { return copy_; }
     /// Takes over what another host passed on. False if that is not newer than the local copy.
     bool adopt(const collection_update& update);
@@ -84,6 +88,8 @@
     void catch_up(std::uint64_t revision);
 
 private:
+    static constexpr std::uint32_t max_failures_in_contact = 2;
+
     void send_list();
     void send_watch();
     void on_history_gone();
@@ -125,6 +131,9 @@
     bool restarting_ = false;
     bool needs_list_ = true;
     bool in_contact_ = false;
+    bool ever_in_contact_ = false;
+    // Waits after a gap in the history, while other hosts read the newest state.
+    bool gap_pause_ = false;
     bool store_unavailable_ = false;
     store_retry retry_;
 };
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -102,8 +102,8 @@
 
 bool gateway::reads_store() const
 {
-    return !follows_ && configuration_watch_.in_contact() && upstream_watch_.in_contact() &&
-           domain_watch_.in_contact();
+    return !follows_ && configuration_watch_.store_reachable() &&
+           upstream_watch_.store_reachable() && domain_watch_.store_reachable();
 }
 
 void gateway::update_watch_freshness(time_point now)
