gateway: hosts without callers keep idle connections half a second

Cause: on the large deployment each of 187 hosts that are not entry hosts gets test requests over 42 shards and kept the connections for 8 s, so up to 62 of them stood on one upstream with a limit of 125, besides those of the entry hosts.

Change: a host that is not an entry host, or is leaving, closes connections that have been idle for half a second, with its next heartbeat.

--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -24,6 +24,10 @@
 inline constexpr duration max_upstream_idle_time = seconds{8};
 // An upstream does not close a connection as idle within this time after its last use.
 inline constexpr duration recent_use_limit = milliseconds{300};
+// The same on a host that is not an entry host: it gets few requests, and the connections of
+// hundreds of such hosts would take most of the limit. Removed with the heartbeats, so they may
+// last an interval longer.
+inline constexpr duration max_rare_idle_time = milliseconds{500};
 // Share of an upstream's connection limit that is divided among the known hosts. The rest is
 // for hosts that are not known yet and for closed connections that the upstream still
 // counts.
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -49,7 +49,9 @@
     follow_peers(now);
     if (is_entry_host_)
         warm_connections();
-    pool_.trim();
+    // A leaving host gets fewer and fewer requests.
+    pool_.trim(is_entry_host_ && !leaving ? gateway_constants::max_upstream_idle_time
+                                          : gateway_constants::max_rare_idle_time);
     heartbeat_due_ = now + interval;
     heartbeat_timer_.set(heartbeat_due_);
 }
--- a/src/libs/gateway/upstreamconnection.cpp
+++ b/src/libs/gateway/upstreamconnection.cpp
@@ -74,14 +74,19 @@
     events_.ready(upstream_connection_pointer{this});
 }
 
+duration upstream_connection::idle_time() const
+{
+    return timers_.now() - idle_since_;
+}
+
 bool upstream_connection::recently_used() const
 {
-    return timers_.now() - idle_since_ < gateway_constants::recent_use_limit;
+    return idle_time() < gateway_constants::recent_use_limit;
 }
 
 bool upstream_connection::expired() const
 {
-    return timers_.now() - idle_since_ > idle_timeout_;
+    return idle_time() > idle_timeout_;
 }
 
 void upstream_connection::send(const upstream_call_pointer& call)
--- a/src/libs/gateway/upstreamconnection.h
+++ b/src/libs/gateway/upstreamconnection.h
@@ -49,6 +49,8 @@
     [[nodiscard]] bool ever_ready() const { return ever_ready_; }
     void mark_ready() { ever_ready_ = true; }
     [[nodiscard]] bool idle() const { return connected_ && !closed_ && !call_; }
+    /// Time since the last reply, or since the connection was established.
+    [[nodiscard]] duration idle_time() const;
     /// Used so recently that the upstream has not closed it as idle.
     [[nodiscard]] bool recently_used() const;
     /// Idle for longer than the upstream or this host keeps it open.
--- a/src/libs/gateway/upstreampool.cpp
+++ b/src/libs/gateway/upstreampool.cpp
@@ -153,13 +153,13 @@
     return true;
 }
 
-void upstream_pool::trim()
+void upstream_pool::trim(duration max_idle)
 {
     std::vector<upstream_connection_pointer> unusable;
     for (const auto& entry : entries_) {
         const bool usable = entry.second.to->usable();
         for (const auto& it : entry.second.idle) {
-            if (!usable || it->expired())
+            if (!usable || it->expired() || it->idle_time() >= max_idle)
                 unusable.push_back(it);
         }
     }
--- a/src/libs/gateway/upstreampool.h
+++ b/src/libs/gateway/upstreampool.h
@@ -33,9 +33,10 @@
 
     /// Opens a connection to an upstream that has none. Returns false if it has one.
     bool warm(const upstream_pointer& to);
-    /// Closes idle connections that have expired or whose upstream is unusable, and removes
-    /// the entries of upstreams that are gone; to be called about once a second.
-    void trim();
+    /// Closes connections that have expired, have been idle for `max_idle` or whose upstream is
+    /// unusable, and removes the entries of upstreams that are gone; to be called about once a
+    /// second.
+    void trim(duration max_idle);
 
     [[nodiscard]] std::uint64_t connections_opened() const { return opened_total_; }
     [[nodiscard]] std::size_t connection_count() const { return open_connections_; }
