gateway: endless bytes, interim replies, late copies, pipelined requests

- An upstream's reply with a 1xx status became the final answer of the caller (103 in the test).
Interim replies are skipped, at most four a call; then the call is lost.
- A second copy of a reply without the id of its request, on a connection in use again, was taken for the next caller's answer.
After a reply has named its request, a success without a name on the same connection is rejected.
- A pipelined request that was answered while the answer before it was partly written overwrote that answer.
It waits now.
- Directory, readiness, metrics and control answers ignored Connection: close.

Ruled out for the pipelined request: closing the connection, which would lose a request that was read.

--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -20,6 +20,17 @@
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
+// Sends the answer that `encode` returns for how the connection goes on: it is closed if the
+// sender asked for that, or while this host leaves.
+template <class Encode>
+void send_answer(http_exchange& exchange, const Encode& encode)
+{
+    const bool closes = exchange.closes_connection();
+    exchange.answer(
+        encode(closes ? platform::connection_use::close : platform::connection_use::keep),
+        closes ? after_answer::close : after_answer::keep_open);
+}
+
 } // namespace
 
 void gateway::refuse(http_exchange& exchange, int status, std::string_view reason,
@@ -34,11 +45,9 @@
     std::optional<duration> retry_after;
     if (status == status_unavailable)
         retry_after = new_host_retry_after;
-    const bool closes = exchange.closes_connection();
-    exchange.answer(platform::encode_answer(platform::error_answer{status, reason, retry_after},
-                                            closes ? platform::connection_use::close
-                                                   : platform::connection_use::keep),
-                    closes ? after_answer::close : after_answer::keep_open);
+    send_answer(exchange, [&](platform::connection_use use) {
+        return platform::encode_answer(platform::error_answer{status, reason, retry_after}, use);
+    });
 }
 
 const service_name& gateway::pick_weighted_service(const service_choice& choice)
@@ -100,7 +109,9 @@
 
 void gateway::on_readiness(http_exchange exchange)
 {
-    exchange.answer(platform::encode_readiness(ready()), after_answer::keep_open);
+    send_answer(exchange, [&](platform::connection_use use) {
+        return platform::encode_readiness(ready(), use);
+    });
 }
 
 void gateway::on_directory(http_exchange exchange)
@@ -114,8 +125,9 @@
         if (addresses.size() < gateway_constants::max_directory_addresses)
             addresses.push_back(it.callers);
     }
-    exchange.answer(platform::encode_directory_answer(addresses, gateway_constants::directory_ttl),
-                    after_answer::keep_open);
+    send_answer(exchange, [&](platform::connection_use use) {
+        return platform::encode_directory_answer(addresses, gateway_constants::directory_ttl, use);
+    });
 }
 
 void gateway::on_metrics(http_exchange exchange)
@@ -128,11 +140,10 @@
                              .caller_connections = caller_server_.session_count(),
                              .entry_hosts = peers_.entry_hosts(timers_.now()).size(),
                              .log_lines_dropped = log_.dropped()});
-    exchange.answer(
-        platform::encode_answer(
-            upstream_reply{200, "", {{"Content-Type", "text/plain; version=0.0.4"}}, body},
-            platform::connection_use::keep),
-        after_answer::keep_open);
+    send_answer(exchange, [&](platform::connection_use use) {
+        return platform::encode_answer(
+            upstream_reply{200, "", {{"Content-Type", "text/plain; version=0.0.4"}}, body}, use);
+    });
 }
 
 void gateway::on_control(http_exchange exchange)
@@ -142,11 +153,13 @@
         return;
     }
     const applied_revisions known = decode_snapshot_target(exchange.request().target);
-    exchange.answer(encode_snapshot_answer({configuration_watch_.copy().since(known.configuration),
-                                            upstream_watch_.copy().since(known.upstreams),
-                                            domain_watch_.copy().since(known.domains),
-                                            host_watch_.copy().since(known.hosts)}),
-                    after_answer::keep_open);
+    send_answer(exchange, [&](platform::connection_use use) {
+        return encode_snapshot_answer({configuration_watch_.copy().since(known.configuration),
+                                       upstream_watch_.copy().since(known.upstreams),
+                                       domain_watch_.copy().since(known.domains),
+                                       host_watch_.copy().since(known.hosts)},
+                                      use);
+    });
 }
 
 } // namespace ebonywick
--- a/src/libs/gateway/httpsession.cpp
+++ b/src/libs/gateway/httpsession.cpp
@@ -70,7 +70,7 @@
     }
     const bool was_started = reader_.message_started();
     const read_state state = reader_.feed({input_.data(), n});
-    if (in_progress_) {
+    if (busy()) {
         // Pipelined requests are buffered up to the limit of one body; then reading stops, and
         // TCP flow control makes the sender wait.
         if (reader_.buffered_bytes() < server_.limits_.body_bytes)
--- a/src/libs/gateway/storesnapshot.cpp
+++ b/src/libs/gateway/storesnapshot.cpp
@@ -87,7 +87,7 @@
             query_number(target, domains_key), query_number(target, hosts_key)};
 }
 
-std::string encode_snapshot_answer(const store_snapshot& snapshot)
+std::string encode_snapshot_answer(const store_snapshot& snapshot, platform::connection_use use)
 {
     json document = json::object();
     encode(document, configuration_key, snapshot.configuration);
@@ -98,6 +98,8 @@
     std::string out = "HTTP/1.1 200 OK\r\n";
     append_field(out, "Content-Type", "application/json");
     append_field(out, "Content-Length", std::to_string(body.size()));
+    if (use == platform::connection_use::close)
+        append_field(out, "Connection", "close");
     return out + "\r\n" + body;
 }
 
--- a/src/libs/gateway/storesnapshot.h
+++ b/src/libs/gateway/storesnapshot.h
@@ -3,6 +3,7 @@
 
 #include "gateway/collectioncopy.h"
 #include "peers/hostrecord.h"
+#include "platform/httpcodec.h"
 #include "settings/declaration.h"
 
 #include <compare>
@@ -33,7 +34,8 @@
 [[nodiscard]] applied_revisions decode_snapshot_target(std::string_view target);
 [[nodiscard]] bool is_snapshot_target(std::string_view target);
 /// HTTP answer with the snapshot as JSON body.
-[[nodiscard]] std::string encode_snapshot_answer(const store_snapshot& snapshot);
+[[nodiscard]] std::string encode_snapshot_answer(const store_snapshot& snapshot,
+                                                 platform::connection_use use);
 /// Decodes the body of the answer; empty if it is not a snapshot.
 [[nodiscard]] std::optional<store_snapshot> decode_snapshot(std::string_view body);
 
--- a/src/libs/gateway/upstreamconnection.cpp
+++ b/src/libs/gateway/upstreamconnection.cpp
@@ -18,6 +18,11 @@
 // Part of the upstream's idle timeout during which a connection is used. The upstream counts
 // from the end of its reply, which is earlier than its arrival here.
 constexpr double usable_timeout_ratio = 0.7;
+// A call fails after this number of interim replies; an upstream in trouble may send them without
+// end.
+constexpr std::uint32_t max_interim_replies = 4;
+constexpr int status_switching_protocols = 101;
+constexpr int first_final_status = 200;
 
 } // namespace
 
@@ -158,6 +163,9 @@
         return;
     case read_state::complete:
         on_reply();
+        // An interim reply may have been followed by an invalid one.
+        if (!closed_ && reader_.state() != read_state::need_more)
+            fail(call_failure::lost);
         if (!closed_)
             read();
         return;
@@ -172,11 +180,25 @@
 void upstream_connection::on_reply()
 {
     http_message message = reader_.take();
+    if (message.status < first_final_status) {
+        const bool known = message.status != status_switching_protocols &&
+                           !call_->plan().bodyless_reply && message.body.empty();
+        if (!known || ++interim_replies_ > max_interim_replies)
+            fail(call_failure::lost);
+        else if (reader_.state() == read_state::complete)
+            on_reply();
+        return;
+    }
+    interim_replies_ = 0;
     // Bytes after the reply belong to no request.
     const bool more = reader_.message_started();
     const bool keep = message.keep_alive && !more && !writing_;
     platform::decoded_reply decoded = platform::decode_reply(std::move(message));
-    if (!decoded.request_id.empty() && decoded.request_id != call_->plan().request_id) {
+    const bool unnamed_success =
+        decoded.request_id.empty() && names_requests_ && decoded.reply && decoded.reply->success();
+    names_requests_ = names_requests_ || !decoded.request_id.empty();
+    if (unnamed_success ||
+        (!decoded.request_id.empty() && decoded.request_id != call_->plan().request_id)) {
         // A late second reply to an earlier request. The replies that follow cannot be matched
         // to requests reliably, so the connection is closed.
         fail(call_failure::lost);
--- a/src/libs/gateway/upstreamconnection.h
+++ b/src/libs/gateway/upstreamconnection.h
@@ -60,6 +60,8 @@
     void on_connected(const boost::system::error_code& ec);
     void read();
     void on_read(const boost::system::error_code& ec, std::size_t n);
+    // Takes the complete reply out of reader_ and ends the call with it. Interim replies are
+    // skipped.
     void on_reply();
     void write();
     // Closes the connection and ends the call, if there is one, with `failure`.
@@ -77,6 +79,11 @@
     loop_timer connect_timeout_;
     time_point idle_since_{};
     duration idle_timeout_ = gateway_constants::max_upstream_idle_time;
+    // Interim replies to the current call.
+    std::uint32_t interim_replies_ = 0;
+    // A reply on this connection has named its request. One that does not, later, may belong to
+    // an earlier request.
+    bool names_requests_ = false;
     bool connected_ = false;
     bool ever_ready_ = false;
     bool writing_ = false;
--- a/tests/auto/gateway/tst_collectioncopy.cpp
+++ b/tests/auto/gateway/tst_collectioncopy.cpp
@@ -121,7 +121,7 @@
     store_snapshot it;
     it.upstreams = collection_update{5, {{item("a", 6, R"({"x":1})"), deletion("b", 7)}, false, 8}};
     it.hosts = collection_update{0, {{item("h", 1)}, false, 9}};
-    const std::string answer = encode_snapshot_answer(it);
+    const std::string answer = encode_snapshot_answer(it, platform::connection_use::keep);
     cr_assert(decode_snapshot(answer.substr(answer.find("\r\n\r\n") + 4)) == it);
     cr_assert(!decode_snapshot("[]"));
     cr_assert(!decode_snapshot(R"({"hosts":{"revision":1}})"));
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -385,6 +385,25 @@
     cr_assert(send("POST /o/x HTTP/1.1\r\nContent-Length: 5000\r\n\r\n") == 413);
 }
 
+// Failure: an answer of the directory, the readiness check, the metrics or the control address
+// keeps the connection open although the sender has asked to close it.
+Test(gateway, every_server_closes_on_request)
+{
+    gateway_fixture f;
+    f.start_ready();
+    const std::vector<std::pair<endpoint, std::string>> targets{
+        {f.settings.directory, "/ebonywick/resolve?name=a.example"},
+        {f.settings.readiness, "/ebonywick/ready"},
+        {f.settings.metrics, "/metrics"},
+        {f.settings.control, "/v1/state"}};
+    for (const auto& [to, target] : targets) {
+        const auto answer = f.call(
+            to, fmt::format("GET {} HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n", target));
+        cr_assert(answer.status == 200 && answer.field("Connection") == "close", "%s",
+                  target.c_str());
+    }
+}
+
 // A host starts during an outage of the store while another host serves. Failure: it refuses
 // all requests until the store is back, or the state that it read from the other host is not
 // replaced by newer state from the store.
--- a/tests/auto/platform/tst_httpcodec.cpp
+++ b/tests/auto/platform/tst_httpcodec.cpp
@@ -115,7 +115,7 @@
     cr_assert(is_directory_query(query));
     query.target = "/ebonywick/ready";
     cr_assert(!is_directory_query(query));
-    const auto text = encode_directory_answer({{"10.1.0.39", 8226}}, 1500ms);
+    const auto text = encode_directory_answer({{"10.1.0.39", 8226}}, 1500ms, connection_use::keep);
     cr_assert(contains(text, R"("addrs":["10.1.0.39:8226"])"));
     cr_assert(contains(text, R"("ttl_s":1.5)"));
 }
