fanout: 13 ms for the network and the response

Cause: partial answers were sent 9 ms before the target latency. On the new deployments the way from and to callers takes 3 ms each; with the merge they arrived just late.

Ruled out: earlier hedges.

Change: 13 ms. Test: partial_answer_reaches_distant_callers_in_time, red before.

Also: three findings of the linter.

--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -12,9 +12,10 @@
 
 using std::chrono::milliseconds;
 
-// Part of the target latency that is reserved for the response: the network takes 1 to
-// 3 ms, and merging 36 parts takes a few milliseconds on a host with a tenth of a core.
-constexpr duration response_margin = milliseconds{9};
+// Part of the target latency that is reserved for the network and the response: the way from and
+// to the caller takes up to 3 ms each, and merging 42 parts takes a few milliseconds on a weak
+// host, behind other work of the event loop.
+constexpr duration response_margin = milliseconds{13};
 // Subtracted from the caller's deadline, so that the final status arrives before it.
 constexpr duration deadline_margin = milliseconds{10};
 // Shortest delay from a call to its hedge, as a fraction of the target latency. A call that is
--- a/src/libs/peers/peertable.cpp
+++ b/src/libs/peers/peertable.cpp
@@ -110,7 +110,8 @@
         if (ahead < 0)
             continue;
         host_heartbeat heartbeat{.id = id->second,
-                                 .incarnation = of.record.incarnation + ahead,
+                                 .incarnation =
+                                     of.record.incarnation + static_cast<std::uint64_t>(ahead),
                                  .ready = it.ready,
                                  .leaving = it.leaving,
                                  .strained = it.strained,
--- a/tests/auto/fanout/tst_fanout.cpp
+++ b/tests/auto/fanout/tst_fanout.cpp
@@ -91,6 +91,23 @@
     cr_assert(answer != nullptr && answer->missing == 1);
 }
 
+// Load pattern: callers 3 ms away, and a shard that does not reply in time. Guards against a
+// partial answer that reaches them just after the target latency of 60 ms; the target deployments
+// missed it by less than a millisecond in two requests of three while upstreams were being lost.
+Test(fan_out, partial_answer_reaches_distant_callers_in_time)
+{
+    constexpr duration network = 2 * 3ms;
+    // Merging and other work of the event loop.
+    constexpr duration processing = 6ms;
+    fan_out_fixture f{4};
+    f.add_all(1);
+    f.start();
+    for (call_number it = 0; it < 3; ++it)
+        f.reply(it);
+    f.advance(60ms - network - processing);
+    cr_assert(f.ended_as<merged_answer>() != nullptr);
+}
+
 // Guards against an answer below the minimum shard ratio, and against no answer when the last
 // required reply comes after the target latency.
 Test(fan_out, late_answer_is_sent_once_enough_shards_have_replied)
--- a/tests/auto/gateway/tst_collectioncopy.cpp
+++ b/tests/auto/gateway/tst_collectioncopy.cpp
@@ -6,7 +6,6 @@
 
 using namespace ebonywick;
 using adoption = collection_copy::adoption;
-using platform::collection_page;
 using platform::stored_item;
 
 namespace {
--- a/tests/auto/gateway/tst_endlessbytes.cpp
+++ b/tests/auto/gateway/tst_endlessbytes.cpp
@@ -86,8 +86,8 @@
     std::vector<std::shared_ptr<asio::ip::tcp::socket>> sockets;
     std::array<char, 4096> input{};
     std::string output;
-    const std::function<void(std::shared_ptr<asio::ip::tcp::socket>, bool)> serve =
-        [&](std::shared_ptr<asio::ip::tcp::socket> socket, bool first) {
+    const std::function<void(const std::shared_ptr<asio::ip::tcp::socket>&, bool)> serve =
+        [&](const std::shared_ptr<asio::ip::tcp::socket>& socket, bool first) {
             socket->async_read_some(
                 asio::buffer(input), [&, socket, first](const auto& ec, std::size_t n) {
                     if (ec)
