--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -193,7 +193,11 @@
     behind_since_ = ahead.empty() ? time_point::max() : std::min(behind_since_, now);
     if (snapshot_channel_.busy() || now < next_snapshot_read_)
         return;
-    if (reads_store() && (ahead.empty() || now - behind_since_ < gateway_constants::follow_delay))
+    // A host that reads the store may still get the change from there, and a host that knows no
+    // source in its failure domain may learn of one.
+    const bool waits =
+        reads_store() || (!ahead.empty() && ahead.front().domain != settings_.domain);
+    if (waits && (ahead.empty() || now - behind_since_ < gateway_constants::follow_delay))
         return;
     std::vector<endpoint> sources;
     // Hosts of the own failure domain come first, and are enough.
