--- a/src/libs/peers/digestqueries.h
+++ b/src/libs/peers/digestqueries.h
@@ -44,7 +44,7 @@
     host_record self_;
     // The first one prefers relays of the own failure domain, the second one those of others.
     std::array<slot, 2> slots_;
-    // Until when a relay that did not answer is not chosen again.
+    // Relays that did not answer, with the end of the time in which others are preferred.
     std::map<host_id, time_point> avoided_until_;
     time_point last_answer_{};
 };
