--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -5,6 +5,8 @@
 #include "gateway/storesnapshot.h"
 #include "platform/httpcodec.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <chrono>
 
@@ -74,10 +76,7 @@
       pool_(
           loop, timers, [this](const upstream& to) { return connection_limit(to); },
           [this](const upstream_pointer& from, const platform::decoded_reply& reply) {
-              if (reply.load)
-                  upstreams_.load_reported(*from, *reply.load, timers_.now());
-              if (reply.cold_remaining)
-                  upstreams_.cold_reported(*from, *reply.cold_remaining, timers_.now());
+              on_reply_reported(from, reply);
           }),
       upstream_updater_(upstreams_, timers, log),
       configuration_watch_(loop, timers, settings.store, store_collection::configuration,
@@ -165,6 +164,31 @@
             }};
 }
 
+void gateway::on_reply_reported(const upstream_pointer& from, const platform::decoded_reply& reply)
+{
+    if (reply.load)
+        upstreams_.load_reported(*from, *reply.load, timers_.now());
+    if (reply.cold_remaining)
+        upstreams_.cold_reported(*from, *reply.cold_remaining, timers_.now());
+    if (reply.limit)
+        on_limit_stated(from, *reply.limit);
+}
+
+void gateway::on_limit_stated(const upstream_pointer& from, const stated_limit& limit)
+{
+    if (from->limit() == limit)
+        return;
+    const auto text = [](const stated_limit& it) {
+        return it.calls_per_second ? fmt::format("{:.2f}", *it.calls_per_second) : "none";
+    };
+    log_.write(log_level::info, "upstream_limit",
+               {{"upstream", from->entry().id.value()},
+                {"service", from->entry().service.value()},
+                {"limit", text(limit)},
+                {"before", text(from->limit())}});
+    upstreams_.limit_stated(*from, limit);
+}
+
 void gateway::start()
 {
     log_.write(log_level::info, "started",
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -60,6 +60,9 @@
     void adopt_snapshot(const endpoint& source, const std::optional<http_message>& reply);
     void refuse(http_exchange& exchange, int status, std::string_view reason,
                 std::string_view request_id);
+    // Takes over what a reply says about the state of its upstream.
+    void on_reply_reported(const upstream_pointer& from, const platform::decoded_reply& reply);
+    void on_limit_stated(const upstream_pointer& from, const stated_limit& limit);
     void on_configuration(const std::vector<platform::stored_item>& items);
     void on_removed_domains(const std::vector<platform::stored_item>& items, bool is_full_list);
     void on_hosts(const std::vector<platform::stored_item>& items, bool is_full_list);
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -135,6 +135,8 @@
     const auto body =
         metrics_.exposition({.config_version = routes_ ? routes_->configuration().version : 0,
                              .upstreams = upstreams_.size(),
+                             .limited_upstreams = upstreams_.limited_count(),
+                             .calls_to_limited_upstreams = upstreams_.calls_to_limited(),
                              .upstream_connections = pool_.connection_count(),
                              .upstream_connections_opened = pool_.connections_opened(),
                              .caller_connections = caller_server_.session_count(),
--- a/src/libs/metrics/gatewaymetrics.cpp
+++ b/src/libs/metrics/gatewaymetrics.cpp
@@ -124,6 +124,10 @@
         static_cast<double>(values.config_version));
     set("ebonywick_gateway_upstreams", "Upstreams in the table",
         static_cast<double>(values.upstreams));
+    set("ebonywick_gateway_limited_upstreams", "Upstreams that state a limit of their calls",
+        static_cast<double>(values.limited_upstreams));
+    set("ebonywick_gateway_calls_to_limited_upstreams", "Calls to such upstreams since the start",
+        static_cast<double>(values.calls_to_limited_upstreams));
     set("ebonywick_gateway_upstream_connections", "Open connections to upstreams",
         static_cast<double>(values.upstream_connections));
     set("ebonywick_gateway_upstream_connections_opened", "Connections opened since the start",
--- a/src/libs/metrics/gatewaymetrics.h
+++ b/src/libs/metrics/gatewaymetrics.h
@@ -35,6 +35,10 @@
     {
         std::uint64_t config_version = 0;
         std::size_t upstreams = 0;
+        // Upstreams that state a limit of the calls that they take.
+        std::size_t limited_upstreams = 0;
+        // Calls to such upstreams since the start.
+        std::uint64_t calls_to_limited_upstreams = 0;
         std::size_t upstream_connections = 0;
         // Connections opened since the start.
         std::uint64_t upstream_connections_opened = 0;
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -149,6 +149,13 @@
     return std::any_of(all.begin(), all.end(), [](const auto& it) { return it->usable(); });
 }
 
+std::size_t upstream_table::limited_count() const
+{
+    return static_cast<std::size_t>(std::count_if(by_id_.begin(), by_id_.end(), [](const auto& it) {
+        return it.second->limit_.calls_per_second.has_value();
+    }));
+}
+
 double upstream_table::decayed_relative_latency(const upstream& it, time_point now)
 {
     return 1.0 +
@@ -257,6 +264,8 @@
 void upstream_table::call_started(upstream& it, time_point now)
 {
     ++it.calls_;
+    if (it.limit_.calls_per_second)
+        ++calls_to_limited_;
     if (now >= it.cold_until_)
         return;
     it.cold_tokens_ = std::max(0.0, cold_tokens(it, now) - 1.0);
@@ -332,6 +341,11 @@
     it.calls_at_load_report_ = it.calls_;
 }
 
+void upstream_table::limit_stated(upstream& it, stated_limit limit)
+{
+    it.limit_ = limit;
+}
+
 void upstream_table::call_late(upstream& it, time_point now)
 {
     if (it.backoff_until_ <= now)
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -48,6 +48,15 @@
     auto operator<=>(const reported_load&) const = default;
 };
 
+/// What an upstream states in a reply about the calls that it takes from all hosts together.
+struct stated_limit
+{
+    // Empty: the upstream states no limit.
+    std::optional<double> calls_per_second;
+
+    auto operator<=>(const stated_limit&) const = default;
+};
+
 /// How a call ended, as far as it matters to load balancing.
 enum class call_result : std::uint8_t {
     replied,
@@ -89,6 +98,8 @@
     [[nodiscard]] bool lapsing() const { return lapsing_; }
     /// Calls of this host in progress.
     [[nodiscard]] std::uint32_t calls() const { return calls_; }
+    /// What the upstream stated last.
+    [[nodiscard]] const stated_limit& limit() const { return limit_; }
 
 private:
     friend class upstream_table;
@@ -115,6 +126,7 @@
     time_point backoff_until_{};
     // Failed and late calls since the last successful reply.
     std::uint32_t consecutive_failures_ = 0;
+    stated_limit limit_;
     time_point cold_until_{};
     // Token bucket of the calls during a cold start, as of cold_tokens_at_. It holds at most
     // one token, so that the hosts together send no burst.
@@ -145,6 +157,10 @@
     [[nodiscard]] std::vector<upstream_id> ids() const;
     [[nodiscard]] upstream_pointer find(const upstream_id& id) const;
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
+    /// Number of upstreams that state a limit.
+    [[nodiscard]] std::size_t limited_count() const;
+    /// Calls started to upstreams that stated a limit at that time.
+    [[nodiscard]] std::uint64_t calls_to_limited() const { return calls_to_limited_; }
 
     /// Chooses an upstream of `service` that is not in `excluded`, at random with a preference
     /// for lower cost. Null if none can take a call.
@@ -166,6 +182,7 @@
     void call_started(upstream& it, time_point now);
     void call_ended(upstream& it, call_result result, call_time time, time_point now);
     void load_reported(upstream& it, reported_load load, time_point now);
+    void limit_stated(upstream& it, stated_limit limit);
     /// Reports that a call to `it` takes much longer than usual, which starts a backoff.
     void call_late(upstream& it, time_point now);
     /// `remaining` is the rest of the cold start; zero ends it.
@@ -203,6 +220,7 @@
     std::unordered_map<upstream_id, upstream_pointer> by_id_;
     // Same entries as by_id_.
     std::unordered_map<service_name, service_state> by_service_;
+    std::uint64_t calls_to_limited_ = 0;
 };
 
 } // namespace ebonywick
--- a/tests/auto/platform/tst_httpcodec.cpp
+++ b/tests/auto/platform/tst_httpcodec.cpp
@@ -131,3 +131,25 @@
     request.fields.pop_back();
     cr_assert(!decode_caller_request_header(request).time_left);
 }
+
+// Failure: a limit is missed, or a rejection, a failure, an unreadable field or a reply of another
+// upstream at the same address ends or sets one.
+Test(http_codec, limit_is_set_by_the_field_and_ended_by_a_success_without_it)
+{
+    const auto limit = [](int status, const std::string& value) {
+        std::vector<std::pair<std::string, std::string>> fields{{"X-Server-Stamp", "p"}};
+        if (!value.empty())
+            fields.emplace_back("Server-Limit", value);
+        return decode_reply(reply(status, fields)).limit;
+    };
+    cr_assert(limit(200, "38.125") == stated_limit{38.125});
+    cr_assert(limit(500, "7") == stated_limit{7.0});
+    cr_assert(limit(200, "0") == stated_limit{0.0});
+    cr_assert(limit(200, "") == stated_limit{});
+    cr_assert(!limit(500, "") && !limit(421, "7"));
+    for (const char* invalid : {"-1", "nan", "inf", "1e3", "0x1p4", "7/s", " 7"})
+        cr_assert(!limit(200, invalid), "%s", invalid);
+    cr_assert(!decode_reply(reply(503, {{"X-Not-Executed", "1"}})).limit);
+    cr_assert(decode_reply(reply(429, {{"X-Not-Executed", "1"}, {"Server-Limit", "3"}})).limit ==
+              stated_limit{3.0});
+}
