upstreams, peers, fanout: divide the limits that upstreams state among the hosts

What users saw: nothing; an upstream in need got up to 1.8 times the calls that its limit tolerates.

Cause: a limit that holds for the fleet was kept by no host. The field was not evaluated, so load balancing, hedges and admission took the upstream for idle.

Change: each host takes an equal part of a stated limit as a token bucket. The hosts that count are the entry hosts of the last 30 s: one that is silent may still send calls. A host that has just started counts those that are registered. If the limit is too low for one call of each host, some hosts share it, chosen by rendezvous hashing. An upstream without a token is not chosen, not for hedges or retries either, and its idle slots no longer hide the queues of the others. A request whose answer cannot cover enough shards is rejected at once as not run, with the time of the next token, instead of being sent to the other shards first. A limit of 0 is checked every 2 s, since only a reply can end it.

--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -151,6 +151,11 @@
                out);
         return;
     }
+    if (const time_point allowed_at = calls_allowed_at(now); allowed_at > now) {
+        const duration wait = std::min(allowed_at - now, max_retry_after);
+        finish(not_run_answer{"upstream_limits", std::min(wait, retry_after(now))}, now, out);
+        return;
+    }
     for (std::size_t it = 0; it < targets_.size(); ++it) {
         shared_.budget.record_request(targets_[it].service, now);
         if (!send(it, call_reason::first, now, out)) {
@@ -158,7 +163,7 @@
             ++failed_targets_;
         }
     }
-    // Usable upstreams may still accept no call, for example during a cold start.
+    // An answer may leave out some of the shards whose upstreams are at their limits.
     if (failed_targets_ > 0)
         finish_if_decided(now, out);
 }
@@ -170,6 +175,17 @@
     return std::chrono::duration_cast<duration>(strictest.min_target_latency * max_wait_fraction);
 }
 
+time_point fan_out::calls_allowed_at(time_point now) const
+{
+    std::vector<time_point> times;
+    times.reserve(targets_.size());
+    for (const call_target& it : targets_)
+        times.push_back(shared_.upstreams.next_call_at(it.service, now));
+    const auto needed = times.begin() + static_cast<std::ptrdiff_t>(required_replies_) - 1;
+    std::nth_element(times.begin(), needed, times.end());
+    return *needed;
+}
+
 bool fan_out::overloaded(time_point now) const
 {
     std::vector<duration> waits;
--- a/src/libs/fanout/fanout.h
+++ b/src/libs/fanout/fanout.h
@@ -208,6 +208,8 @@
     // for its priority and for earlier refusals.
     [[nodiscard]] duration max_wait() const;
     [[nodiscard]] bool overloaded(time_point now) const;
+    // When the rate limits of the upstreams allow this host calls to the required shards.
+    [[nodiscard]] time_point calls_allowed_at(time_point now) const;
     bool send(std::size_t index, call_reason reason, time_point now,
               std::vector<fan_out_action>& out);
     void end_call(call& it, call_result result, time_point now);
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -72,7 +72,7 @@
     : timers_(timers), settings_(settings), log_(log), random_(seed), incarnation_(unix_time_ms()),
       peers_(make_host_record(settings, incarnation_)),
       queries_(make_host_record(settings, incarnation_)),
-      upstreams_(settings.domain, random_.next()), budget_(budget_limits(settings)),
+      upstreams_(settings.host, settings.domain, random_.next()), budget_(budget_limits(settings)),
       pool_(
           loop, timers, [this](const upstream& to) { return connection_limit(to); },
           [this](const upstream_pointer& from, const platform::decoded_reply& reply) {
@@ -186,7 +186,7 @@
                 {"service", from->entry().service.value()},
                 {"limit", text(limit)},
                 {"before", text(from->limit())}});
-    upstreams_.limit_stated(*from, limit);
+    upstreams_.limit_stated(*from, limit, timers_.now());
 }
 
 void gateway::start()
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -36,6 +36,7 @@
     sharing_hosts_ = peers_.limit_divisor(now);
     budget_.set_host_count(sharing_hosts_);
     divide_cold_rates();
+    upstreams_.set_sharing_hosts(peers_.calling_hosts(now), now);
     const auto entry_hosts = peers_.entry_hosts(now);
     // A leaving host still serves callers that got its address from the directory.
     const bool leaving = leaving_since_ != time_point::max();
--- a/src/libs/peers/peertable.cpp
+++ b/src/libs/peers/peertable.cpp
@@ -27,6 +27,11 @@
 // Time since the last heartbeat or registration for which a host counts as a user of the
 // fleet's limits. Their window is 10 s, so the calls of an earlier host have left it.
 constexpr duration recent_host_window = seconds{12};
+// Time for which a host that was an entry host still counts as sending calls. Most partitions and
+// restarts are shorter; its part of the limits is not used meanwhile.
+constexpr duration calling_host_retention = seconds{30};
+// A host sends its first heartbeat within this time after this one has learned of it.
+constexpr duration first_heartbeat_wait = seconds{3};
 // Divisor of the fleet's limits while no other host is known, for example after a start without
 // the store; larger than the expected fleets.
 constexpr std::size_t default_limit_divisor = 20;
@@ -251,33 +256,49 @@
                    [](const auto& it) { return it.second; });
 }
 
-std::vector<const host_record*> peer_table::ranked_hosts(time_point now, bool ready_only) const
+std::vector<const host_record*> peer_table::ranked_hosts(time_point now, rank_filter filter) const
 {
     std::vector<const host_record*> out;
-    if (is_relay() && (own_ready_ || !ready_only))
+    if (is_relay() && (own_ready_ || filter == rank_filter::alive))
         out.push_back(&self_);
     for (const auto& [id, it] : peers_) {
-        if (is_relay(id) && is_alive(it, now) && (it.last_heartbeat->ready || !ready_only))
+        if (!is_relay(id))
+            continue;
+        const bool may_start = filter == rank_filter::possibly_ready && !it.last_heartbeat &&
+                               now - it.registered_at < first_heartbeat_wait;
+        const bool passes =
+            is_alive(it, now) && (it.last_heartbeat->ready || filter == rank_filter::alive);
+        if (passes || may_start)
             out.push_back(&it.record);
     }
     sort_by_rank(out);
     return out;
 }
 
-std::vector<host_record> peer_table::entry_hosts(time_point now)
+std::vector<const host_record*> peer_table::strongest(const std::vector<const host_record*>& ranked,
+                                                      time_point now) const
 {
     const double factor = now < extended_until_ ? extension_factor : 1.0;
-    std::vector<host_record> out;
+    std::vector<const host_record*> out;
     double cores = 0;
-    std::size_t strained = 0;
-    for (const host_record* it : ranked_hosts(now, true)) {
+    for (const host_record* it : ranked) {
         const bool weak =
-            !out.empty() && it->processor_share < weak_host_ratio * out.front().processor_share;
+            !out.empty() && it->processor_share < weak_host_ratio * out.front()->processor_share;
         const double target = factor * (weak ? min_cores : target_cores);
         if (cores >= target && out.size() >= min_entry_hosts)
             break;
-        out.push_back(*it);
+        out.push_back(it);
         cores += it->processor_share;
+    }
+    return out;
+}
+
+std::vector<host_record> peer_table::entry_hosts(time_point now)
+{
+    std::vector<host_record> out;
+    std::size_t strained = 0;
+    for (const host_record* it : strongest(ranked_hosts(now, rank_filter::ready), now)) {
+        out.push_back(*it);
         const auto found = peers_.find(it->id);
         strained += found == peers_.end() ? own_strained_ : found->second.last_heartbeat->strained;
     }
@@ -288,7 +309,7 @@
 
 bool peer_table::ranks_among_first(std::size_t count, time_point now) const
 {
-    const auto all = ranked_hosts(now, false);
+    const auto all = ranked_hosts(now, rank_filter::alive);
     const auto end = all.begin() + static_cast<std::ptrdiff_t>(std::min(count, all.size()));
     return std::find(all.begin(), end, &self_) != end;
 }
@@ -301,7 +322,7 @@
 
 bool peer_table::is_newest_reader(std::size_t count, time_point now) const
 {
-    for (const host_record* it : ranked_hosts(now, false)) {
+    for (const host_record* it : ranked_hosts(now, rank_filter::alive)) {
         if (!reads_store(*it))
             continue;
         if (it == &self_)
@@ -334,6 +355,27 @@
     return std::clamp<std::size_t>(static_cast<std::size_t>(entry_count) + 1, 1, all);
 }
 
+std::vector<host_id> peer_table::calling_hosts(time_point now)
+{
+    for (const rank_filter filter : {rank_filter::ready, rank_filter::possibly_ready}) {
+        for (const host_record* it : strongest(ranked_hosts(now, filter), now)) {
+            const auto found = peers_.find(it->id);
+            (found == peers_.end() ? own_last_entry_at_ : found->second.last_entry_at) = now;
+        }
+    }
+    const auto recent = [&](time_point last) {
+        return last != time_point{} && now - last < calling_host_retention;
+    };
+    std::vector<host_id> out;
+    if (recent(own_last_entry_at_))
+        out.push_back(self_.id);
+    for (const auto& [id, it] : peers_) {
+        if (recent(it.last_entry_at))
+            out.push_back(id);
+    }
+    return out;
+}
+
 std::vector<host_id> peer_table::ids() const
 {
     std::vector<host_id> out;
--- a/src/libs/peers/peertable.h
+++ b/src/libs/peers/peertable.h
@@ -71,6 +71,10 @@
     /// Number of hosts among which the limits of the fleet are divided, with this one: the entry
     /// hosts and a margin for changes of their selection. At least 1.
     [[nodiscard]] std::size_t limit_divisor(time_point now);
+    /// Hosts that divide the rate limits of the fleet, possibly with this one: those that callers
+    /// are told to use, or were told recently. A host that has fallen silent may still send calls,
+    /// so it stays among them for a while. To be called at least once in each heartbeat interval.
+    [[nodiscard]] std::vector<host_id> calling_hosts(time_point now);
     /// Ids of all other registered hosts.
     [[nodiscard]] std::vector<host_id> ids() const;
     /// Live hosts that have applied a newer revision than `own` of some collection, those of
@@ -92,6 +96,8 @@
         // Since when the host has been expected to send heartbeats as a relay; the epoch of the
         // clock if it is not.
         time_point expected_since{};
+        // When the host last was an entry host, as seen from here; the epoch of the clock if never.
+        time_point last_entry_at{};
     };
 
     [[nodiscard]] bool is_alive(const peer& it, time_point now) const;
@@ -109,9 +115,20 @@
     // Sorts by processor share, strongest first; hosts of equal strength alternate between the
     // failure domains.
     static void sort_by_rank(std::vector<const host_record*>& hosts);
-    // This host and all live relays in the order of the ranking.
+    // Which of the relays are ranked.
+    enum class rank_filter : std::uint8_t {
+        alive,
+        // Alive and ready.
+        ready,
+        // As `ready`, and those that have just been registered and may be.
+        possibly_ready,
+    };
+    // This host and the relays that pass `filter` in the order of the ranking.
     [[nodiscard]] std::vector<const host_record*> ranked_hosts(time_point now,
-                                                               bool ready_only) const;
+                                                               rank_filter filter) const;
+    // The first hosts of `ranked`, up to a number of cores.
+    [[nodiscard]] std::vector<const host_record*>
+    strongest(const std::vector<const host_record*>& ranked, time_point now) const;
 
     host_record self_;
     bool own_ready_ = false;
@@ -120,6 +137,8 @@
     // Until then more entry hosts are selected, because most of them were overloaded.
     time_point extended_until_{};
     std::map<host_id, peer> peers_;
+    // peer::last_entry_at of this host.
+    time_point own_last_entry_at_{};
     // Hosts of peers_ by digest_hash().
     std::unordered_map<std::uint32_t, host_id> by_hash_;
     // As of the last update_relays(); may contain this host. Empty in a small fleet.
--- /dev/null
+++ b/src/libs/upstreams/fleetshare.cpp
@@ -0,0 +1,47 @@
+// Equal parts, for as many hosts as the limit bears.
+#include "upstreams/fleetshare.h"
+
+#include "base/hashing.h"
+
+#include <algorithm>
+
+namespace ebonywick {
+
+namespace {
+
+// Each host with a part may send one call at once, whatever its rate. These calls of all hosts
+// stay within this time's worth of the limit, and a few more: with a single host, its loss would
+// leave the upstream without calls.
+constexpr double simultaneous_calls_s = 0.5;
+constexpr std::size_t min_sharing_hosts = 2;
+
+} // namespace
+
+bool fleet_share::set_hosts(std::vector<host_id> hosts)
+{
+    std::sort(hosts.begin(), hosts.end());
+    if (hosts == hosts_)
+        return false;
+    hosts_ = std::move(hosts);
+    return true;
+}
+
+double fleet_share::part_of(double calls_per_second, std::string_view key) const
+{
+    if (!std::binary_search(hosts_.begin(), hosts_.end(), self_))
+        return 0;
+    const auto borne =
+        min_sharing_hosts + static_cast<std::size_t>(calls_per_second * simultaneous_calls_s);
+    if (borne >= hosts_.size())
+        return calls_per_second / static_cast<double>(hosts_.size());
+    const auto weight = [&](const host_id& it) {
+        return rendezvous_weight(key, it.value());
+    };
+    const auto own = weight(self_);
+    const auto before = std::count_if(hosts_.begin(), hosts_.end(),
+                                      [&](const host_id& it) { return weight(it) > own; });
+    return static_cast<std::size_t>(before) < borne ? calls_per_second / static_cast<double>(borne)
+                                                    : 0;
+}
+
+} // namespace ebonywick
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -44,6 +44,12 @@
 constexpr int run_time_samples = 64;
 // Factor on the cost of an upstream in its cold start.
 constexpr double cold_cost_factor = 1.6;
+// Rate of calls to an upstream that states a lower limit. Without calls, no reply would show the
+// end of the limit.
+constexpr double min_limited_rate = 0.5;
+// Calls that a host may send at once if it has not used its part of a limit, as the time in which
+// they accumulate; at least one.
+constexpr double limit_burst_s = 1.0;
 // An upstream is chosen with a probability proportional to its cost to the power of minus this.
 constexpr double weight_exponent = 3.0;
 
@@ -57,8 +63,8 @@
 
 } // namespace
 
-upstream_table::upstream_table(failure_domain_id own_domain, std::uint64_t seed)
-    : own_domain_(std::move(own_domain)), random_(seed)
+upstream_table::upstream_table(host_id own_host, failure_domain_id own_domain, std::uint64_t seed)
+    : share_(std::move(own_host)), own_domain_(std::move(own_domain)), random_(seed)
 {
 }
 
@@ -121,6 +127,16 @@
         found->second.cold_rate = calls_per_second;
 }
 
+void upstream_table::set_sharing_hosts(std::vector<host_id> hosts, time_point now)
+{
+    if (!share_.set_hosts(std::move(hosts)))
+        return;
+    for (auto& [id, it] : by_id_) {
+        if (it->limit_.calls_per_second)
+            divide_limit(*it, now);
+    }
+}
+
 std::vector<upstream_id> upstream_table::ids() const
 {
     std::vector<upstream_id> out;
@@ -184,13 +200,13 @@
         return duration::zero();
     double least = std::numeric_limits<double>::max();
     for (const upstream_pointer& it : found->second.upstreams) {
-        if (!it->usable() || it->backoff_until_ > now)
+        if (!it->usable() || it->backoff_until_ > now || !may_call(*it, now))
             continue;
         const double slots = std::max<std::uint32_t>(1, it->entry_.slots);
         const double rounds = std::max(0.0, estimated_load(*it, now) + 1.0 - slots) / slots;
         least = std::min(least, rounds * std::max(1.0, decayed_relative_latency(*it, now)));
     }
-    // No queue length is known while all upstreams are in backoff.
+    // No queue length is known while all upstreams are in backoff or at their limits.
     if (least == std::numeric_limits<double>::max())
         return duration::zero();
     return std::chrono::duration_cast<duration>(found->second.run_time * least);
@@ -201,7 +217,7 @@
 {
     const auto all = of_service(service);
     return std::any_of(all.begin(), all.end(), [&](const upstream_pointer& it) {
-        return it->usable() && it->backoff_until_ <= now &&
+        return it->usable() && it->backoff_until_ <= now && may_call(*it, now) &&
                estimated_load(*it, now) + 1.0 <= std::max<std::uint32_t>(1, it->entry_.slots) &&
                std::find(excluded.begin(), excluded.end(), it) == excluded.end();
     });
@@ -232,7 +248,7 @@
     upstream_pointer last_resort;
     for (const upstream_pointer& it : of_service(service)) {
         if (!it->usable() || std::find(excluded.begin(), excluded.end(), it) != excluded.end() ||
-            cold_tokens(*it, now) < 1.0)
+            !may_call(*it, now))
             continue;
         // After the backoff the upstream gets one call at a time until a reply comes.
         const bool backing_off = it->lapsing_ || it->backoff_until_ > now ||
@@ -250,6 +266,26 @@
     return chosen ? chosen : last_resort;
 }
 
+bool upstream_table::may_call(const upstream& it, time_point now) const
+{
+    return cold_tokens(it, now) >= 1.0 &&
+           (!it.limit_.calls_per_second || it.limit_tokens_.available(now));
+}
+
+time_point upstream_table::next_call_at(const service_name& service, time_point now) const
+{
+    time_point out = time_point::max();
+    for (const upstream_pointer& it : of_service(service)) {
+        if (!it->usable())
+            continue;
+        if (may_call(*it, now))
+            return now;
+        if (it->limit_.calls_per_second)
+            out = std::min(out, it->limit_tokens_.available_at(now));
+    }
+    return out;
+}
+
 double upstream_table::cold_tokens(const upstream& it, time_point now) const
 {
     if (now >= it.cold_until_)
@@ -264,8 +300,10 @@
 void upstream_table::call_started(upstream& it, time_point now)
 {
     ++it.calls_;
-    if (it.limit_.calls_per_second)
+    if (it.limit_.calls_per_second) {
         ++calls_to_limited_;
+        it.limit_tokens_.take(now);
+    }
     if (now >= it.cold_until_)
         return;
     it.cold_tokens_ = std::max(0.0, cold_tokens(it, now) - 1.0);
@@ -341,9 +379,23 @@
     it.calls_at_load_report_ = it.calls_;
 }
 
-void upstream_table::limit_stated(upstream& it, stated_limit limit)
+void upstream_table::limit_stated(upstream& it, stated_limit limit, time_point now)
 {
+    if (it.limit_ == limit)
+        return;
+    // The calls that were sent before the limit was known have used it.
+    if (!it.limit_.calls_per_second)
+        it.limit_tokens_.clear(now);
     it.limit_ = limit;
+    if (limit.calls_per_second)
+        divide_limit(it, now);
+}
+
+void upstream_table::divide_limit(upstream& it, time_point now)
+{
+    const double all = std::max(*it.limit_.calls_per_second, min_limited_rate);
+    const double part = share_.part_of(all, it.entry_.id.value());
+    it.limit_tokens_.set_rate(part, std::max(1.0, part * limit_burst_s), now);
 }
 
 void upstream_table::call_late(upstream& it, time_point now)
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -6,6 +6,8 @@
 #include "base/identifiers.h"
 #include "base/randomsource.h"
 #include "settings/declaration.h"
+#include "upstreams/fleetshare.h"
+#include "upstreams/tokenbucket.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -127,6 +129,8 @@
     // Failed and late calls since the last successful reply.
     std::uint32_t consecutive_failures_ = 0;
     stated_limit limit_;
+    // This host's part of limit_; not used while there is none.
+    token_bucket limit_tokens_;
     time_point cold_until_{};
     // Token bucket of the calls during a cold start, as of cold_tokens_at_. It holds at most
     // one token, so that the hosts together send no burst.
@@ -140,8 +144,8 @@
 class upstream_table
 {
 public:
-    /// `seed` is that of the random choice.
-    upstream_table(failure_domain_id own_domain, std::uint64_t seed);
+    /// `own_host` and `own_domain` are those of this host, `seed` is that of the random choice.
+    upstream_table(host_id own_host, failure_domain_id own_domain, std::uint64_t seed);
 
     /// Adds or updates an entry. Another incarnation, address or service under the same id
     /// discards what was observed before.
@@ -154,6 +158,9 @@
     /// Calls per second that this host may send to each upstream of `service` in its cold
     /// start; 0: no limit. Ignored if the service has no upstreams.
     void set_cold_rate(const service_name& service, double calls_per_second);
+    /// Sets the hosts that divide the stated limits. Without this one, no calls to limited
+    /// upstreams are sent.
+    void set_sharing_hosts(std::vector<host_id> hosts, time_point now);
     [[nodiscard]] std::vector<upstream_id> ids() const;
     [[nodiscard]] upstream_pointer find(const upstream_id& id) const;
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
@@ -175,6 +182,9 @@
                                      std::span<const upstream_pointer> excluded,
                                      time_point now) const;
     [[nodiscard]] bool has_usable(const service_name& service) const;
+    /// When the rate limits of its upstreams allow this host a call to `service`: `now`, later, or
+    /// time_point::max() if no usable upstream gives it a part of its limit.
+    [[nodiscard]] time_point next_call_at(const service_name& service, time_point now) const;
     /// All listed upstreams of `service`.
     [[nodiscard]] std::span<const upstream_pointer> of_service(const service_name& service) const;
 
@@ -182,7 +192,7 @@
     void call_started(upstream& it, time_point now);
     void call_ended(upstream& it, call_result result, call_time time, time_point now);
     void load_reported(upstream& it, reported_load load, time_point now);
-    void limit_stated(upstream& it, stated_limit limit);
+    void limit_stated(upstream& it, stated_limit limit, time_point now);
     /// Reports that a call to `it` takes much longer than usual, which starts a backoff.
     void call_late(upstream& it, time_point now);
     /// `remaining` is the rest of the cold start; zero ends it.
@@ -209,11 +219,15 @@
     [[nodiscard]] double cost(const upstream& it, time_point now) const;
     // Tokens of a cold upstream, each good for one call; 1 for a warm one.
     [[nodiscard]] double cold_tokens(const upstream& it, time_point now) const;
+    // Whether its cold start and its limit allow a call.
+    [[nodiscard]] bool may_call(const upstream& it, time_point now) const;
+    void divide_limit(upstream& it, time_point now);
     // Starts or extends the backoff; it doubles with each failure.
     void back_off(upstream& it, time_point now);
     static void record_result(upstream& it, bool failed, time_point now);
     void record_run_time(const upstream& it, duration elapsed);
 
+    fleet_share share_;
     failure_domain_id own_domain_;
     random_source random_;
     std::set<failure_domain_id> domains_out_;
--- a/tests/auto/fanout/fanoutfixture.h
+++ b/tests/auto/fanout/fanoutfixture.h
@@ -129,7 +129,7 @@
     time_point now{1000s};
     bool refused_before = false;
     route_table_pointer routes;
-    upstream_table upstreams{failure_domain_id{"d"}, 3};
+    upstream_table upstreams{host_id{"h"}, failure_domain_id{"d"}, 3};
     extra_budget budget{{0.2, 10s, 100}};
     call_statistics statistics;
     std::unique_ptr<fan_out> request;
--- a/tests/auto/fanout/simulatedfleet.h
+++ b/tests/auto/fanout/simulatedfleet.h
@@ -106,9 +106,14 @@
     struct host
     {
         host(std::size_t number, std::size_t hosts)
-            : upstreams(failure_domain_id{"d" + std::to_string(number % 3)}, number + 1)
+            : upstreams(host_id{"h" + std::to_string(number)},
+                        failure_domain_id{"d" + std::to_string(number % 3)}, number + 1)
         {
             budget.set_host_count(hosts);
+            std::vector<host_id> all;
+            for (std::size_t it = 0; it < hosts; ++it)
+                all.emplace_back("h" + std::to_string(it));
+            upstreams.set_sharing_hosts(all, time_point{});
         }
         upstream_table upstreams;
         extra_budget budget{{0.2, 10s, 100}};
@@ -291,7 +296,7 @@
                                          static_cast<std::uint32_t>(of.waiting.size()), slots};
                 schedule(now_ + one_way, [this, it, sent, load, limit = of.limit] {
                     it->at->upstreams.load_reported(*sent.to, load, now_);
-                    it->at->upstreams.limit_stated(*sent.to, limit);
+                    it->at->upstreams.limit_stated(*sent.to, limit, now_);
                     deliver(it, call_replied{sent.call, {200, "p", {}, ""}});
                 });
             };
--- a/tests/auto/fanout/tst_fanout.cpp
+++ b/tests/auto/fanout/tst_fanout.cpp
@@ -355,3 +355,25 @@
     f.start();
     cr_assert(f.ended_as<not_run_answer>() != nullptr);
 }
+
+// Limits leave too few shards. Guards against requests that are sent to some shards and fail, or
+// wait, although it is known that the answer cannot cover enough shards.
+Test(fan_out, refused_at_once_if_limits_leave_too_few_shards)
+{
+    for (const std::size_t limited : {1U, 2U}) {
+        fan_out_fixture f{4, 0.75};
+        f.add_all(1);
+        for (std::size_t it = 0; it < limited; ++it)
+            f.upstreams.limit_stated(
+                *f.upstreams.find(upstream_id{"u" + std::to_string(it) + "-0"}), {8.0}, f.now);
+        f.start();
+        const auto* refusal = f.ended_as<not_run_answer>();
+        cr_assert((refusal != nullptr) == (limited == 2));
+        cr_assert(f.calls.size() == (limited == 2 ? 0 : 3));
+        if (refusal != nullptr) {
+            cr_assert(refusal->reason == "upstream_limits");
+            // The next call is allowed after 125 ms.
+            cr_assert(refusal->retry_after == 125ms);
+        }
+    }
+}
--- a/tests/auto/peers/tst_peertable.cpp
+++ b/tests/auto/peers/tst_peertable.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <map>
 
 using namespace ebonywick;
@@ -229,3 +230,49 @@
     f.now += 5s;
     cr_assert(f.table.hosts_ahead_of({7, 7, 9}, f.now).empty());
 }
+
+// Guards against a host that takes a larger part of the limits as soon as others fall silent,
+// although they may only be cut off from it and go on sending calls.
+Test(peer_table, silent_host_keeps_its_part_of_the_limits_for_a_while)
+{
+    peer_fixture f;
+    f.table.set_own_state(true, false, true);
+    f.table.upsert(record("a", 5, 1), f.now);
+    f.receive_heartbeat("a", 5);
+    cr_assert(f.table.calling_hosts(f.now).size() == 2);
+    f.now += 29s;
+    cr_assert(f.table.calling_hosts(f.now).size() == 2);
+    f.now += 2s;
+    cr_assert(f.table.calling_hosts(f.now).size() == 1);
+}
+
+// Guards against a host that takes the whole limits after its start, before it has heard from the
+// others, and against parts for hosts that never come.
+Test(peer_table, registered_hosts_have_a_part_of_the_limits_until_they_could_be_heard)
+{
+    peer_fixture f;
+    f.table.set_own_state(true, false, true);
+    for (const char* it : {"a", "b", "c"})
+        f.table.upsert(record(it, 5, 1), f.now);
+    cr_assert(f.table.calling_hosts(f.now).size() == 4);
+    f.now += 31s;
+    cr_assert(f.table.calling_hosts(f.now).size() == 1);
+}
+
+// Guards against parts of the limits for hosts that get no requests of callers, in a fleet of
+// which a few strong hosts are entry hosts.
+Test(peer_table, hosts_without_callers_have_no_part_of_the_limits)
+{
+    peer_fixture f;
+    f.table.set_own_state(true, false, true);
+    for (int it = 0; it < 60; ++it) {
+        const auto id = "h" + std::to_string(it);
+        f.table.upsert(record(id, 5, static_cast<std::uint16_t>(it + 1), it < 20 ? 0.5 : 0.1),
+                       f.now);
+        f.receive_heartbeat(id, 5);
+    }
+    f.table.update_relays(f.now);
+    const auto hosts = f.table.calling_hosts(f.now);
+    cr_assert(hosts.size() == f.table.entry_hosts(f.now).size());
+    cr_assert(std::find(hosts.begin(), hosts.end(), host_id{"self"}) == hosts.end());
+}
--- a/tests/auto/upstreams/tst_upstreamtable.cpp
+++ b/tests/auto/upstreams/tst_upstreamtable.cpp
@@ -42,7 +42,7 @@
     }
 
     time_point now{1000s};
-    upstream_table table{failure_domain_id{"d1"}, 7};
+    upstream_table table{host_id{"h"}, failure_domain_id{"d1"}, 7};
 };
 
 } // namespace
@@ -264,7 +264,7 @@
     time_point now{1000s};
     std::vector<upstream_table> tables;
     for (std::uint64_t host = 0; host < hosts; ++host)
-        tables.emplace_back(failure_domain_id{"d1"}, host + 1);
+        tables.emplace_back(host_id{"h"}, failure_domain_id{"d1"}, host + 1);
     for (auto& it : tables) {
         it.upsert({.id = upstream_id{"a"},
                    .service = service,
@@ -302,3 +302,71 @@
     cr_assert(tables.front().choose(service, {}, now) != nullptr);
     cr_assert(tables.front().choose(service, {}, now) != nullptr);
 }
+
+// Guards against calls beyond this host's part of a limit, also as hedges or as a last resort, and
+// against a limit that outlives its statement or is lost when only its value changes.
+Test(upstream_table, limited_upstream_gets_calls_at_its_rate)
+{
+    table_fixture f;
+    f.add("a");
+    f.table.set_sharing_hosts({host_id{"h"}, host_id{"other"}}, f.now);
+    f.table.limit_stated(f.at("a"), {4.0}, f.now);
+    cr_assert(f.table.limited_count() == 1);
+    int calls = 0;
+    for (int step = 0; step < 1000; ++step, f.now += 10ms) {
+        if (step == 500)
+            f.table.limit_stated(f.at("a"), {8.0}, f.now);
+        const bool free_slot = f.table.has_free_slot(service, {}, f.now);
+        cr_assert(free_slot == (f.table.next_call_at(service, f.now) == f.now));
+        if (f.table.choose(service, {}, f.now)) {
+            cr_assert(free_slot);
+            f.call("a", call_result::replied);
+            ++calls;
+        }
+    }
+    // Half of 4 a second for 5 s, and of 8 a second for 5 s.
+    cr_assert(calls >= 27 && calls <= 31, "%d", calls);
+    f.table.limit_stated(f.at("a"), {}, f.now);
+    cr_assert(f.choices(20)["a"] == 20);
+}
+
+// Guards against an expected wait of zero, and so admitted requests that queue, because an
+// upstream at its limit is idle.
+Test(upstream_table, upstream_at_its_limit_does_not_hide_the_queues_of_the_others)
+{
+    table_fixture f;
+    f.add("a");
+    f.add("b");
+    f.call("b", call_result::replied);
+    f.table.load_reported(f.at("b"), {4, 8, 4}, f.now);
+    cr_assert(f.table.expected_wait(service, f.now) == duration::zero());
+    f.table.limit_stated(f.at("a"), {1.0}, f.now);
+    cr_assert(f.table.expected_wait(service, f.now) > duration::zero());
+}
+
+// Guards against a limit that is applied to the next upstream at an address, or to the same one
+// after its restart.
+Test(upstream_table, limit_ends_with_the_incarnation_that_stated_it)
+{
+    table_fixture f;
+    f.add("a");
+    f.table.limit_stated(f.at("a"), {0.0}, f.now);
+    cr_assert(f.choices(5)["a"] == 0);
+    auto restarted = f.at("a").entry();
+    restarted.incarnation = 7;
+    f.table.upsert(restarted, f.now);
+    cr_assert(f.choices(5)["a"] == 5 && f.table.limited_count() == 0);
+}
+
+// Guards against an upstream that gets no calls at all after it has stated a limit of zero, so
+// that no reply can show the end of the limit.
+Test(upstream_table, limit_of_zero_is_checked_now_and_then)
+{
+    table_fixture f;
+    f.add("a");
+    f.table.limit_stated(f.at("a"), {0.0}, f.now);
+    f.now += 1s;
+    cr_assert(!f.table.choose(service, {}, f.now));
+    f.now += 1s;
+    cr_assert(f.table.choose(service, {}, f.now) != nullptr);
+}
