upstreams, peers, gateway: hosts tell each other the limits that upstreams state

Cause: a host learned of a limit and of its end only from its own replies. And each host that had not met the limit yet sent calls until a reply showed it.

Ruled out: probes by every host, which in a fleet of hundreds exceed a low limit.

Change: heartbeats, queries and answers carry up to 64 limits as hash, rate and age of the statement; the latest statement wins, an end is told for 30 s. A reply of the upstream counts like a statement with age 0.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -171,22 +171,25 @@
     if (reply.cold_remaining)
         upstreams_.cold_reported(*from, *reply.cold_remaining, timers_.now());
     if (reply.limit)
-        on_limit_stated(from, *reply.limit);
+        on_limit_stated(from, *reply.limit, timers_.now(), "reply");
 }
 
-void gateway::on_limit_stated(const upstream_pointer& from, const stated_limit& limit)
+void gateway::on_limit_stated(const upstream_pointer& by, const stated_limit& limit,
+                              time_point stated_at, std::string_view source)
 {
-    if (from->limit() == limit)
+    const stated_limit before = by->limit();
+    upstreams_.limit_stated(*by, limit, stated_at, timers_.now());
+    if (by->limit() == before)
         return;
     const auto text = [](const stated_limit& it) {
         return it.calls_per_second ? fmt::format("{:.2f}", *it.calls_per_second) : "none";
     };
     log_.write(log_level::info, "upstream_limit",
-               {{"upstream", from->entry().id.value()},
-                {"service", from->entry().service.value()},
+               {{"upstream", by->entry().id.value()},
+                {"service", by->entry().service.value()},
                 {"limit", text(limit)},
-                {"before", text(from->limit())}});
-    upstreams_.limit_stated(*from, limit, timers_.now());
+                {"before", text(before)},
+                {"source", source}});
 }
 
 void gateway::start()
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -62,7 +62,9 @@
                 std::string_view request_id);
     // Takes over what a reply says about the state of its upstream.
     void on_reply_reported(const upstream_pointer& from, const platform::decoded_reply& reply);
-    void on_limit_stated(const upstream_pointer& from, const stated_limit& limit);
+    // `source` is "reply" or "host".
+    void on_limit_stated(const upstream_pointer& by, const stated_limit& limit,
+                         time_point stated_at, std::string_view source);
     void on_configuration(const std::vector<platform::stored_item>& items);
     void on_removed_domains(const std::vector<platform::stored_item>& items, bool is_full_list);
     void on_hosts(const std::vector<platform::stored_item>& items, bool is_full_list);
@@ -72,6 +74,8 @@
     // Asks relays for digests; only in a large fleet.
     void query_relays(time_point now);
     [[nodiscard]] host_heartbeat own_heartbeat() const;
+    // A heartbeat with what the other hosts need to know besides.
+    [[nodiscard]] peer_message own_message();
     void update_watch_freshness(time_point now);
     void warm_connections();
     // Sets this host's share of the rate of calls that cold upstreams of a service can take.
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -44,7 +44,7 @@
                      std::any_of(entry_hosts.begin(), entry_hosts.end(),
                                  [&](const auto& it) { return it.id == settings_.host; });
     non_entry_hosts_exist_ = peers_.ids().size() + 1 > entry_hosts.size();
-    heartbeat_link_.send({own_heartbeat(), 0, 0, {}}, peers_.heartbeat_targets(leaving));
+    heartbeat_link_.send(own_message(), peers_.heartbeat_targets(leaving));
     query_relays(now);
     update_watch_freshness(now);
     follow_peers(now);
@@ -63,13 +63,19 @@
     return {settings_.host, incarnation_, ready(), leaving, strained_, applied(), reads_store()};
 }
 
+peer_message gateway::own_message()
+{
+    return {own_heartbeat(), 0, 0, {}, upstreams_.limit_reports(timers_.now())};
+}
+
 void gateway::query_relays(time_point now)
 {
     if (peers_.small_fleet())
         return;
-    const auto query = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    peer_message message = own_message();
+    message.query = static_cast<std::uint64_t>(now.time_since_epoch().count());
     for (const host_record& it : queries_.next(peers_.relays(), now))
-        heartbeat_link_.send({own_heartbeat(), query, 0, {}}, {it.heartbeats});
+        heartbeat_link_.send(message, {it.heartbeats});
 }
 
 void gateway::on_peer_message(const peer_message& message, const endpoint& from)
@@ -78,6 +84,10 @@
     if (now < ignore_datagrams_until_ || now > heartbeat_due_ + peers_.heartbeat_interval())
         return;
     peers_.record_heartbeat(message.heartbeat, now);
+    for (const limit_report& it : message.limits) {
+        if (const upstream_pointer of = upstreams_.find_reported(it.upstream))
+            on_limit_stated(of, it.limit, now - it.age, "host");
+    }
     if (message.answered_query != 0) {
         const duration round_trip = now - time_point{duration{message.answered_query}};
         if (round_trip < duration::zero() || round_trip > peers_.heartbeat_interval())
@@ -87,8 +97,12 @@
         if (!reads_store())
             follow_peers(now);
     }
-    if (message.query != 0)
-        heartbeat_link_.send({own_heartbeat(), 0, message.query, peers_.digest(now)}, {from});
+    if (message.query != 0) {
+        peer_message answer = own_message();
+        answer.answered_query = message.query;
+        answer.digest = peers_.digest(now);
+        heartbeat_link_.send(answer, {from});
+    }
 }
 
 applied_revisions gateway::applied() const
--- a/src/libs/gateway/heartbeatlink.h
+++ b/src/libs/gateway/heartbeatlink.h
@@ -30,8 +30,9 @@
 
     boost::asio::ip::udp::socket socket_;
     std::function<void(const peer_message&, const endpoint& from)> on_message_;
-    // Receive buffer; longer datagrams are truncated. A digest of 32 relays has about 500 bytes.
-    std::array<char, 2048> input_{};
+    // Receive buffer; longer datagrams are truncated. A digest of 32 relays has about 500 bytes,
+    // 64 limits of upstreams about 1000.
+    std::array<char, 4096> input_{};
     boost::asio::ip::udp::endpoint sender_;
 };
 
--- a/src/libs/peers/hostrecord.cpp
+++ b/src/libs/peers/hostrecord.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace ebonywick {
 
@@ -22,11 +23,18 @@
 // Keeps an encoded age within 32 bits. Such an old entry counts as silent in any case.
 constexpr std::int64_t max_age_ms = 100'000;
 
+// EntryHeartbeat.limit_rate of an upstream without a limit.
+constexpr double no_limit_rate = -1.0;
+
+std::uint32_t encode_age(duration age)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(age).count(), 0, max_age_ms));
+}
+
 std::uint32_t encode_state(const digest_entry& it)
 {
-    const auto age_ms = std::clamp<std::int64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(it.age).count(), 0, max_age_ms);
-    return static_cast<std::uint32_t>(age_ms) * age_unit + (it.ready ? ready_bit : 0) +
+    return encode_age(it.age) * age_unit + (it.ready ? ready_bit : 0) +
            (it.leaving ? leaving_bit : 0) + (it.strained ? strained_bit : 0) +
            (it.reads_store ? reads_store_bit : 0);
 }
@@ -91,6 +99,11 @@
         out.add_digest_incarnation(it.incarnation);
         out.add_digest_state(encode_state(it));
     }
+    for (const limit_report& it : message.limits) {
+        out.add_limit_upstream(it.upstream);
+        out.add_limit_rate(it.limit.calls_per_second.value_or(no_limit_rate));
+        out.add_limit_age(encode_age(it.age));
+    }
     return out.SerializeAsString();
 }
 
@@ -99,7 +112,9 @@
     wire::EntryHeartbeat in;
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || in.host().empty() ||
         in.digest_incarnation_size() != in.digest_host_size() ||
-        in.digest_state_size() != in.digest_host_size())
+        in.digest_state_size() != in.digest_host_size() ||
+        in.limit_rate_size() != in.limit_upstream_size() ||
+        in.limit_age_size() != in.limit_upstream_size())
         return std::nullopt;
     peer_message out;
     out.heartbeat = {host_id{in.host()}, in.incarnation(),
@@ -115,6 +130,13 @@
                               (state & leaving_bit) != 0, (state & strained_bit) != 0,
                               (state & reads_store_bit) != 0});
     }
+    for (int it = 0; it < in.limit_upstream_size(); ++it) {
+        const double rate = in.limit_rate(it);
+        if (!std::isfinite(rate))
+            return std::nullopt;
+        out.limits.push_back({in.limit_upstream(it), rate < 0 ? stated_limit{} : stated_limit{rate},
+                              std::chrono::milliseconds{in.limit_age(it)}});
+    }
     return out;
 }
 
--- a/src/libs/peers/hostrecord.h
+++ b/src/libs/peers/hostrecord.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/identifiers.h"
 #include "settings/declaration.h"
+#include "upstreams/statedlimit.h"
 
 #include <compare>
 #include <cstdint>
@@ -83,8 +84,8 @@
     auto operator<=>(const digest_entry&) const = default;
 };
 
-/// A datagram: always a heartbeat of the sender, and possibly a query for a digest or the digest
-/// that answers one.
+/// A datagram: always a heartbeat of the sender, and possibly limits of upstreams, a query for a
+/// digest or the digest that answers one.
 struct peer_message
 {
     host_heartbeat heartbeat;
@@ -94,6 +95,8 @@
     // The query that this message answers. 0 if it is not an answer; `digest` is empty then.
     std::uint64_t answered_query = 0;
     std::vector<digest_entry> digest;
+    // Limits of upstreams that the sender knows.
+    std::vector<limit_report> limits = {};
 
     auto operator<=>(const peer_message&) const = default;
 };
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -1,6 +1,8 @@
 // Observed load, latency and failures of upstreams, and the weighted random choice.
 #include "upstreams/upstreamtable.h"
 
+#include "base/hashing.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -50,6 +52,10 @@
 // Calls that a host may send at once if it has not used its part of a limit, as the time in which
 // they accumulate; at least one.
 constexpr double limit_burst_s = 1.0;
+// Time for which other hosts are told of a statement that is not repeated, and number of limits
+// that fit into a datagram beside a digest.
+constexpr duration limit_report_time = std::chrono::seconds{30};
+constexpr std::size_t max_limit_reports = 64;
 // An upstream is chosen with a probability proportional to its cost to the power of minus this.
 constexpr double weight_exponent = 3.0;
 
@@ -91,6 +97,7 @@
     it->cold_tokens_at_ = now;
     it->relative_latency_at_ = now;
     by_id_.emplace(entry.id, it);
+    by_report_key_[report_key(entry)] = it;
     by_service_[entry.service].upstreams.push_back(it);
 }
 
@@ -102,6 +109,7 @@
     const upstream_pointer it = found->second;
     it->listed_ = false;
     by_id_.erase(found);
+    by_report_key_.erase(report_key(it->entry_));
     const auto service = by_service_.find(it->entry_.service);
     std::erase(service->second.upstreams, it);
     if (service->second.upstreams.empty())
@@ -379,10 +387,16 @@
     it.calls_at_load_report_ = it.calls_;
 }
 
-void upstream_table::limit_stated(upstream& it, stated_limit limit, time_point now)
+void upstream_table::limit_stated(upstream& it, stated_limit limit, time_point stated_at,
+                                  time_point now)
 {
+    if (stated_at < it.limit_stated_at_)
+        return;
+    it.limit_stated_at_ = stated_at;
     if (it.limit_ == limit)
         return;
+    if (!limit.calls_per_second)
+        it.limit_ended_at_ = stated_at;
     // The calls that were sent before the limit was known have used it.
     if (!it.limit_.calls_per_second)
         it.limit_tokens_.clear(now);
@@ -391,6 +405,35 @@
         divide_limit(it, now);
 }
 
+std::vector<limit_report> upstream_table::limit_reports(time_point now)
+{
+    std::vector<limit_report> out;
+    for (const auto& [key, it] : by_report_key_) {
+        const time_point changed =
+            it->limit_.calls_per_second ? it->limit_stated_at_ : it->limit_ended_at_;
+        if (changed != time_point{} && now - changed < limit_report_time)
+            out.push_back({key, it->limit_, now - it->limit_stated_at_});
+    }
+    // If there are too many, each is sent now and then.
+    if (out.size() > max_limit_reports) {
+        const auto first = static_cast<std::ptrdiff_t>(random_.below(out.size()));
+        std::rotate(out.begin(), out.begin() + first, out.end());
+        out.resize(max_limit_reports);
+    }
+    return out;
+}
+
+std::uint32_t upstream_table::report_key(const upstream_entry& entry)
+{
+    return static_cast<std::uint32_t>(stable_hash(entry.id.value(), entry.incarnation));
+}
+
+upstream_pointer upstream_table::find_reported(std::uint32_t key) const
+{
+    const auto found = by_report_key_.find(key);
+    return found == by_report_key_.end() ? nullptr : found->second;
+}
+
 void upstream_table::divide_limit(upstream& it, time_point now)
 {
     const double all = std::max(*it.limit_.calls_per_second, min_limited_rate);
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -7,6 +7,7 @@
 #include "base/randomsource.h"
 #include "settings/declaration.h"
 #include "upstreams/fleetshare.h"
+#include "upstreams/statedlimit.h"
 #include "upstreams/tokenbucket.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -50,15 +51,6 @@
     auto operator<=>(const reported_load&) const = default;
 };
 
-/// What an upstream states in a reply about the calls that it takes from all hosts together.
-struct stated_limit
-{
-    // Empty: the upstream states no limit.
-    std::optional<double> calls_per_second;
-
-    auto operator<=>(const stated_limit&) const = default;
-};
-
 /// How a call ended, as far as it matters to load balancing.
 enum class call_result : std::uint8_t {
     replied,
@@ -128,7 +120,11 @@
     time_point backoff_until_{};
     // Failed and late calls since the last successful reply.
     std::uint32_t consecutive_failures_ = 0;
+    // As of limit_stated_at_.
     stated_limit limit_;
+    time_point limit_stated_at_{};
+    // When the last limit ended; the epoch of the clock if there was none.
+    time_point limit_ended_at_{};
     // This host's part of limit_; not used while there is none.
     token_bucket limit_tokens_;
     time_point cold_until_{};
@@ -192,7 +188,15 @@
     void call_started(upstream& it, time_point now);
     void call_ended(upstream& it, call_result result, call_time time, time_point now);
     void load_reported(upstream& it, reported_load load, time_point now);
-    void limit_stated(upstream& it, stated_limit limit, time_point now);
+    /// A reply to this or another host stated `limit` at `stated_at`. Ignored if a later statement
+    /// is known.
+    void limit_stated(upstream& it, stated_limit limit, time_point stated_at, time_point now);
+    /// The limits that are in force and those that have ended recently, for other hosts.
+    [[nodiscard]] std::vector<limit_report> limit_reports(time_point now);
+    /// Short name of an upstream and its incarnation in limit reports.
+    [[nodiscard]] static std::uint32_t report_key(const upstream_entry& entry);
+    /// Null if this host does not know the upstream or knows another incarnation of it.
+    [[nodiscard]] upstream_pointer find_reported(std::uint32_t key) const;
     /// Reports that a call to `it` takes much longer than usual, which starts a backoff.
     void call_late(upstream& it, time_point now);
     /// `remaining` is the rest of the cold start; zero ends it.
@@ -232,6 +236,8 @@
     random_source random_;
     std::set<failure_domain_id> domains_out_;
     std::unordered_map<upstream_id, upstream_pointer> by_id_;
+    // Upstreams of by_id_ by report_key().
+    std::unordered_map<std::uint32_t, upstream_pointer> by_report_key_;
     // Same entries as by_id_.
     std::unordered_map<service_name, service_state> by_service_;
     std::uint64_t calls_to_limited_ = 0;
--- a/tests/auto/fanout/simulatedfleet.h
+++ b/tests/auto/fanout/simulatedfleet.h
@@ -50,6 +50,7 @@
             for (std::size_t replica = 0; replica < replica_count; ++replica)
                 add_upstream(shard, replica);
         }
+        schedule(now_, [this] { exchange_limits(); });
     }
 
     /// Generates requests with exponential gaps at a mean rate of `per_second` for `span`.
@@ -91,6 +92,14 @@
         }
         return out;
     }
+    /// Calls that have reached an upstream since `since`.
+    [[nodiscard]] std::size_t arrivals(std::size_t replica, std::size_t shard,
+                                       time_point since) const
+    {
+        const auto& all = servers_[shard * replica_count + replica].arrivals;
+        return static_cast<std::size_t>(all.end() -
+                                        std::lower_bound(all.begin(), all.end(), since));
+    }
     [[nodiscard]] time_point now() const { return now_; }
 
     [[nodiscard]] const simulated_result& of(const std::string& route) { return results_[route]; }
@@ -102,6 +111,7 @@
     static constexpr std::size_t slots = 4;
     static constexpr std::size_t queue_limit = 24;
     static constexpr duration one_way = 700us;
+    static constexpr duration heartbeat_interval = 500ms;
 
     struct host
     {
@@ -201,6 +211,20 @@
         events_.push({when, ++order_, std::move(run)});
     }
 
+    // Every host tells all others the limits that it knows.
+    void exchange_limits()
+    {
+        for (const auto& from : hosts_) {
+            for (const limit_report& it : from->upstreams.limit_reports(now_)) {
+                for (const auto& to : hosts_) {
+                    if (const auto of = to->upstreams.find_reported(it.upstream))
+                        to->upstreams.limit_stated(*of, it.limit, now_ - it.age, now_);
+                }
+            }
+        }
+        schedule(now_ + heartbeat_interval, [this] { exchange_limits(); });
+    }
+
     void run_until(time_point end)
     {
         while (!events_.empty() && events_.top().at <= end) {
@@ -296,7 +320,7 @@
                                          static_cast<std::uint32_t>(of.waiting.size()), slots};
                 schedule(now_ + one_way, [this, it, sent, load, limit = of.limit] {
                     it->at->upstreams.load_reported(*sent.to, load, now_);
-                    it->at->upstreams.limit_stated(*sent.to, limit, now_);
+                    it->at->upstreams.limit_stated(*sent.to, limit, now_, now_);
                     deliver(it, call_replied{sent.call, {200, "p", {}, ""}});
                 });
             };
--- a/tests/auto/fanout/tst_fanout.cpp
+++ b/tests/auto/fanout/tst_fanout.cpp
@@ -365,7 +365,8 @@
         f.add_all(1);
         for (std::size_t it = 0; it < limited; ++it)
             f.upstreams.limit_stated(
-                *f.upstreams.find(upstream_id{"u" + std::to_string(it) + "-0"}), {8.0}, f.now);
+                *f.upstreams.find(upstream_id{"u" + std::to_string(it) + "-0"}), {8.0}, f.now,
+                f.now);
         f.start();
         const auto* refusal = f.ended_as<not_run_answer>();
         cr_assert((refusal != nullptr) == (limited == 2));
--- a/tests/auto/fanout/tst_statedlimits.cpp
+++ b/tests/auto/fanout/tst_statedlimits.cpp
@@ -90,3 +90,33 @@
         cr_assert(static_cast<double>(it.in_time) > 0.97 * static_cast<double>(it.total));
     }
 }
+
+// A limit that only two of 13 hosts share ends. Guards against hosts without a part, which get no
+// replies of the upstream, that keep to the limit for ever.
+Test(stated_limits, hosts_without_a_part_learn_of_the_end)
+{
+    simulated_fleet fleet{13, 5};
+    fleet.load(180, 3s);
+    fleet.limit(0, 1, 1.0);
+    fleet.load(180, 5s);
+    fleet.limit(0, 1, std::nullopt);
+    fleet.load(180, 4s);
+    const time_point since = fleet.now();
+    fleet.load(180, 4s);
+    const auto released = static_cast<double>(fleet.arrivals(0, 0, since));
+    const auto never_limited = static_cast<double>(fleet.arrivals(0, 1, since));
+    cr_assert(released > 0.7 * never_limited, "%.0f of %.0f", released, never_limited);
+}
+
+// Guards against hosts that have had no reply of a limited upstream yet, each of which sends it a
+// call until one shows the limit.
+Test(stated_limits, hosts_keep_to_limits_that_others_have_learned)
+{
+    simulated_fleet fleet{60, 6};
+    fleet.load(180, 3s);
+    fleet.limit(0, 1, 2.0);
+    fleet.load(180, 1s);
+    const time_point since = fleet.now();
+    fleet.load(180, 8s);
+    cr_assert_leq(fleet.most_arrivals(0, 0, since, limit_window), tolerated(2.0));
+}
--- a/tests/auto/peers/tst_peertable.cpp
+++ b/tests/auto/peers/tst_peertable.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 
 using namespace ebonywick;
@@ -212,6 +213,10 @@
     message.answered_query = 47;
     message.digest = {{1, 2, 3s, true, false, true, true}, {4, 5, 60ms, false, true, false, false}};
     cr_assert(decode_peer_message(encode_peer_message(message)) == message);
+    message.limits = {{1, {38.125}, 250ms}, {2, {}, 0ms}};
+    cr_assert(decode_peer_message(encode_peer_message(message)) == message);
+    message.limits[0].limit = {std::numeric_limits<double>::quiet_NaN()};
+    cr_assert(!decode_peer_message(encode_peer_message(message)));
     cr_assert(!decode_peer_message("\xff\xff\xff"));
     cr_assert(!decode_peer_message(""));
 }
--- a/tests/auto/upstreams/tst_upstreamtable.cpp
+++ b/tests/auto/upstreams/tst_upstreamtable.cpp
@@ -310,12 +310,12 @@
     table_fixture f;
     f.add("a");
     f.table.set_sharing_hosts({host_id{"h"}, host_id{"other"}}, f.now);
-    f.table.limit_stated(f.at("a"), {4.0}, f.now);
+    f.table.limit_stated(f.at("a"), {4.0}, f.now, f.now);
     cr_assert(f.table.limited_count() == 1);
     int calls = 0;
     for (int step = 0; step < 1000; ++step, f.now += 10ms) {
         if (step == 500)
-            f.table.limit_stated(f.at("a"), {8.0}, f.now);
+            f.table.limit_stated(f.at("a"), {8.0}, f.now, f.now);
         const bool free_slot = f.table.has_free_slot(service, {}, f.now);
         cr_assert(free_slot == (f.table.next_call_at(service, f.now) == f.now));
         if (f.table.choose(service, {}, f.now)) {
@@ -326,7 +326,7 @@
     }
     // Half of 4 a second for 5 s, and of 8 a second for 5 s.
     cr_assert(calls >= 27 && calls <= 31, "%d", calls);
-    f.table.limit_stated(f.at("a"), {}, f.now);
+    f.table.limit_stated(f.at("a"), {}, f.now, f.now);
     cr_assert(f.choices(20)["a"] == 20);
 }
 
@@ -340,7 +340,7 @@
     f.call("b", call_result::replied);
     f.table.load_reported(f.at("b"), {4, 8, 4}, f.now);
     cr_assert(f.table.expected_wait(service, f.now) == duration::zero());
-    f.table.limit_stated(f.at("a"), {1.0}, f.now);
+    f.table.limit_stated(f.at("a"), {1.0}, f.now, f.now);
     cr_assert(f.table.expected_wait(service, f.now) > duration::zero());
 }
 
@@ -350,7 +350,7 @@
 {
     table_fixture f;
     f.add("a");
-    f.table.limit_stated(f.at("a"), {0.0}, f.now);
+    f.table.limit_stated(f.at("a"), {0.0}, f.now, f.now);
     cr_assert(f.choices(5)["a"] == 0);
     auto restarted = f.at("a").entry();
     restarted.incarnation = 7;
@@ -364,9 +364,62 @@
 {
     table_fixture f;
     f.add("a");
-    f.table.limit_stated(f.at("a"), {0.0}, f.now);
+    f.table.limit_stated(f.at("a"), {0.0}, f.now, f.now);
     f.now += 1s;
     cr_assert(!f.table.choose(service, {}, f.now));
     f.now += 1s;
     cr_assert(f.table.choose(service, {}, f.now) != nullptr);
 }
+
+// Guards against an older statement that replaces a later one, statements that are passed on for
+// ever, and a statement of another incarnation.
+Test(upstream_table, hosts_tell_each_other_the_latest_statement)
+{
+    table_fixture told;
+    table_fixture telling;
+    const auto tell = [&] {
+        for (const limit_report& it : telling.table.limit_reports(told.now)) {
+            if (const auto of = told.table.find_reported(it.upstream))
+                told.table.limit_stated(*of, it.limit, told.now - it.age, told.now);
+        }
+    };
+    told.add("a");
+    telling.add("a");
+    telling.table.limit_stated(telling.at("a"), {3.0}, told.now, told.now);
+    told.now += 100ms;
+    tell();
+    cr_assert(told.at("a").limit() == stated_limit{3.0});
+    // A reply since then says that the limit has ended.
+    told.table.limit_stated(told.at("a"), {}, told.now, told.now);
+    told.now += 100ms;
+    tell();
+    cr_assert(told.at("a").limit() == stated_limit{});
+    telling.table.limit_stated(telling.at("a"), {}, told.now, told.now);
+    cr_assert(telling.table.limit_reports(told.now).size() == 1);
+    cr_assert(telling.table.limit_reports(told.now + 31s).empty());
+    auto restarted = told.at("a").entry();
+    restarted.incarnation = 7;
+    told.table.upsert(restarted, told.now);
+    telling.table.limit_stated(telling.at("a"), {1.0}, told.now, told.now);
+    tell();
+    cr_assert(told.at("a").limit() == stated_limit{});
+}
+
+// Guards against limits that are never reported because more upstreams state one than a datagram
+// has room for.
+Test(upstream_table, all_of_many_limits_are_reported_in_turn)
+{
+    table_fixture f;
+    std::map<std::uint32_t, int> reported;
+    for (int it = 0; it < 150; ++it) {
+        f.add("u" + std::to_string(it));
+        f.table.limit_stated(f.at("u" + std::to_string(it)), {1.0}, f.now, f.now);
+    }
+    for (int it = 0; it < 40; ++it, f.now += 497ms) {
+        const auto reports = f.table.limit_reports(f.now);
+        cr_assert(reports.size() <= 64);
+        for (const limit_report& report : reports)
+            ++reported[report.upstream];
+    }
+    cr_assert(reported.size() == 150);
+}
