upstreams, peers, gateway: parts of cold rates stay when hosts fall silent

The same cause elsewhere: the rate that a cold upstream takes from all hosts was divided by a number of hosts that falls as soon as heartbeats stop, or before the first have come.

Ruled out: fewer hosts with larger parts, as for low stated limits: a query needs most of the shards of a new set while all of them are cold.

Change: cold rates use the hosts that divide stated limits, and the same token bucket. A rate is kept for services that have no upstreams yet.

--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -78,8 +78,6 @@
     [[nodiscard]] peer_message own_message();
     void update_watch_freshness(time_point now);
     void warm_connections();
-    // Sets this host's share of the rate of calls that cold upstreams of a service can take.
-    void divide_cold_rates();
     [[nodiscard]] applied_revisions applied() const;
     // Revisions of the local copies.
     [[nodiscard]] applied_revisions known() const;
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -35,7 +35,6 @@
     peers_.update_relays(now);
     sharing_hosts_ = peers_.limit_divisor(now);
     budget_.set_host_count(sharing_hosts_);
-    divide_cold_rates();
     upstreams_.set_sharing_hosts(peers_.calling_hosts(now), now);
     const auto entry_hosts = peers_.entry_hosts(now);
     // A leaving host still serves callers that got its address from the directory.
@@ -296,12 +295,4 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(part));
 }
 
-void gateway::divide_cold_rates()
-{
-    if (!routes_)
-        return;
-    for (const service_policy& it : routes_->configuration().services)
-        upstreams_.set_cold_rate(it.name, it.cold_rate / static_cast<double>(sharing_hosts_));
-}
-
 } // namespace ebonywick
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -36,6 +36,8 @@
         if (config.version <= before && routes_)
             continue;
         caller_server_.set_limits(config.limits);
+        for (const service_policy& policy : config.services)
+            upstreams_.set_cold_rate(policy.name, policy.cold_rate, timers_.now());
         routes_ = std::make_shared<const route_table>(std::move(config));
         log_.write(
             log_level::info, "configuration_applied",
--- a/src/libs/peers/peertable.cpp
+++ b/src/libs/peers/peertable.cpp
@@ -355,7 +355,7 @@
     return std::clamp<std::size_t>(static_cast<std::size_t>(entry_count) + 1, 1, all);
 }
 
-std::vector<host_id> peer_table::calling_hosts(time_point now)
+sharing_hosts peer_table::calling_hosts(time_point now)
 {
     for (const rank_filter filter : {rank_filter::ready, rank_filter::possibly_ready}) {
         for (const host_record* it : strongest(ranked_hosts(now, filter), now)) {
@@ -366,13 +366,15 @@
     const auto recent = [&](time_point last) {
         return last != time_point{} && now - last < calling_host_retention;
     };
-    std::vector<host_id> out;
+    sharing_hosts out;
     if (recent(own_last_entry_at_))
-        out.push_back(self_.id);
+        out.known.push_back(self_.id);
     for (const auto& [id, it] : peers_) {
         if (recent(it.last_entry_at))
-            out.push_back(id);
+            out.known.push_back(id);
     }
+    if (peers_.empty())
+        out.unknown = default_limit_divisor - 1;
     return out;
 }
 
--- a/src/libs/peers/peertable.h
+++ b/src/libs/peers/peertable.h
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "peers/hostrecord.h"
+#include "upstreams/fleetshare.h"
 
 #include <cstddef>
 #include <map>
@@ -74,7 +75,7 @@
     /// Hosts that divide the rate limits of the fleet, possibly with this one: those that callers
     /// are told to use, or were told recently. A host that has fallen silent may still send calls,
     /// so it stays among them for a while. To be called at least once in each heartbeat interval.
-    [[nodiscard]] std::vector<host_id> calling_hosts(time_point now);
+    [[nodiscard]] sharing_hosts calling_hosts(time_point now);
     /// Ids of all other registered hosts.
     [[nodiscard]] std::vector<host_id> ids() const;
     /// Live hosts that have applied a newer revision than `own` of some collection, those of
--- a/src/libs/upstreams/fleetshare.cpp
+++ b/src/libs/upstreams/fleetshare.cpp
@@ -17,28 +17,37 @@
 
 } // namespace
 
-bool fleet_share::set_hosts(std::vector<host_id> hosts)
+bool fleet_share::set_hosts(sharing_hosts hosts)
 {
-    std::sort(hosts.begin(), hosts.end());
+    std::sort(hosts.known.begin(), hosts.known.end());
     if (hosts == hosts_)
         return false;
     hosts_ = std::move(hosts);
     return true;
 }
 
+bool fleet_share::includes_self() const
+{
+    return std::binary_search(hosts_.known.begin(), hosts_.known.end(), self_);
+}
+
+double fleet_share::equal_part_of(double calls_per_second) const
+{
+    const auto count = static_cast<double>(hosts_.known.size() + hosts_.unknown);
+    return includes_self() ? calls_per_second / count : 0;
+}
+
 double fleet_share::part_of(double calls_per_second, std::string_view key) const
 {
-    if (!std::binary_search(hosts_.begin(), hosts_.end(), self_))
-        return 0;
     const auto borne =
         min_sharing_hosts + static_cast<std::size_t>(calls_per_second * simultaneous_calls_s);
-    if (borne >= hosts_.size())
-        return calls_per_second / static_cast<double>(hosts_.size());
+    if (borne >= hosts_.known.size() || hosts_.unknown > 0 || !includes_self())
+        return equal_part_of(calls_per_second);
     const auto weight = [&](const host_id& it) {
         return rendezvous_weight(key, it.value());
     };
     const auto own = weight(self_);
-    const auto before = std::count_if(hosts_.begin(), hosts_.end(),
+    const auto before = std::count_if(hosts_.known.begin(), hosts_.known.end(),
                                       [&](const host_id& it) { return weight(it) > own; });
     return static_cast<std::size_t>(before) < borne ? calls_per_second / static_cast<double>(borne)
                                                     : 0;
--- a/src/libs/upstreams/tokenbucket.h
+++ b/src/libs/upstreams/tokenbucket.h
@@ -22,10 +22,10 @@
         per_second_ = per_second;
         capacity_ = capacity;
     }
-    /// Discards the tokens that are there.
-    void clear(time_point now)
+    /// Replaces the tokens that are there.
+    void set_tokens(double tokens, time_point now)
     {
-        tokens_ = 0;
+        tokens_ = std::min(tokens, capacity_);
         updated_at_ = now;
     }
     [[nodiscard]] double tokens(time_point now) const
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -92,9 +92,9 @@
     const upstream_pointer it{new upstream{entry}};
     it->domain_out_ = domains_out_.contains(entry.domain);
     it->cold_until_ = now + entry.cold_remaining;
+    divide_cold_rate(*it, now);
     // A random initial level, so that the hosts do not all send their first call at once.
-    it->cold_tokens_ = random_.uniform();
-    it->cold_tokens_at_ = now;
+    it->cold_tokens_.set_tokens(random_.uniform(), now);
     it->relative_latency_at_ = now;
     by_id_.emplace(entry.id, it);
     by_report_key_[report_key(entry)] = it;
@@ -129,17 +129,23 @@
         it->domain_out_ = domains_out_.contains(it->entry_.domain);
 }
 
-void upstream_table::set_cold_rate(const service_name& service, double calls_per_second)
+void upstream_table::set_cold_rate(const service_name& service, double calls_per_second,
+                                   time_point now)
 {
-    if (const auto found = by_service_.find(service); found != by_service_.end())
-        found->second.cold_rate = calls_per_second;
+    if (calls_per_second > 0)
+        cold_rates_[service] = calls_per_second;
+    else
+        cold_rates_.erase(service);
+    for (const upstream_pointer& it : of_service(service))
+        divide_cold_rate(*it, now);
 }
 
-void upstream_table::set_sharing_hosts(std::vector<host_id> hosts, time_point now)
+void upstream_table::set_sharing_hosts(sharing_hosts hosts, time_point now)
 {
     if (!share_.set_hosts(std::move(hosts)))
         return;
     for (auto& [id, it] : by_id_) {
+        divide_cold_rate(*it, now);
         if (it->limit_.calls_per_second)
             divide_limit(*it, now);
     }
@@ -274,37 +280,36 @@
     return chosen ? chosen : last_resort;
 }
 
+bool upstream_table::cold_limited(const upstream& it, time_point now) const
+{
+    return now < it.cold_until_ && cold_rates_.contains(it.entry_.service);
+}
+
+time_point upstream_table::next_call_at(const upstream& it, time_point now) const
+{
+    time_point out = now;
+    if (cold_limited(it, now))
+        out = std::min(it.cold_tokens_.available_at(now), it.cold_until_);
+    if (it.limit_.calls_per_second)
+        out = std::max(out, it.limit_tokens_.available_at(now));
+    return out;
+}
+
 bool upstream_table::may_call(const upstream& it, time_point now) const
 {
-    return cold_tokens(it, now) >= 1.0 &&
-           (!it.limit_.calls_per_second || it.limit_tokens_.available(now));
+    return next_call_at(it, now) <= now;
 }
 
 time_point upstream_table::next_call_at(const service_name& service, time_point now) const
 {
     time_point out = time_point::max();
     for (const upstream_pointer& it : of_service(service)) {
-        if (!it->usable())
-            continue;
-        if (may_call(*it, now))
-            return now;
-        if (it->limit_.calls_per_second)
-            out = std::min(out, it->limit_tokens_.available_at(now));
+        if (it->usable())
+            out = std::min(out, next_call_at(*it, now));
     }
     return out;
 }
 
-double upstream_table::cold_tokens(const upstream& it, time_point now) const
-{
-    if (now >= it.cold_until_)
-        return 1.0;
-    const auto service = by_service_.find(it.entry_.service);
-    if (service == by_service_.end() || service->second.cold_rate <= 0)
-        return 1.0;
-    const double elapsed = std::chrono::duration<double>(now - it.cold_tokens_at_).count();
-    return std::min(1.0, it.cold_tokens_ + elapsed * service->second.cold_rate);
-}
-
 void upstream_table::call_started(upstream& it, time_point now)
 {
     ++it.calls_;
@@ -312,10 +317,8 @@
         ++calls_to_limited_;
         it.limit_tokens_.take(now);
     }
-    if (now >= it.cold_until_)
-        return;
-    it.cold_tokens_ = std::max(0.0, cold_tokens(it, now) - 1.0);
-    it.cold_tokens_at_ = now;
+    if (cold_limited(it, now))
+        it.cold_tokens_.take(now);
 }
 
 void upstream_table::back_off(upstream& it, time_point now)
@@ -399,7 +402,7 @@
         it.limit_ended_at_ = stated_at;
     // The calls that were sent before the limit was known have used it.
     if (!it.limit_.calls_per_second)
-        it.limit_tokens_.clear(now);
+        it.limit_tokens_.set_tokens(0, now);
     it.limit_ = limit;
     if (limit.calls_per_second)
         divide_limit(it, now);
@@ -434,6 +437,13 @@
     return found == by_report_key_.end() ? nullptr : found->second;
 }
 
+void upstream_table::divide_cold_rate(upstream& it, time_point now)
+{
+    const auto rate = cold_rates_.find(it.entry_.service);
+    if (rate != cold_rates_.end())
+        it.cold_tokens_.set_rate(share_.equal_part_of(rate->second), 1.0, now);
+}
+
 void upstream_table::divide_limit(upstream& it, time_point now)
 {
     const double all = std::max(*it.limit_.calls_per_second, min_limited_rate);
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -128,10 +128,9 @@
     // This host's part of limit_; not used while there is none.
     token_bucket limit_tokens_;
     time_point cold_until_{};
-    // Token bucket of the calls during a cold start, as of cold_tokens_at_. It holds at most
-    // one token, so that the hosts together send no burst.
-    double cold_tokens_ = 0;
-    time_point cold_tokens_at_{};
+    // This host's part of the calls during a cold start. It holds at most one token, so that the
+    // hosts together send no burst.
+    token_bucket cold_tokens_;
 };
 
 using upstream_pointer = boost::intrusive_ptr<upstream>;
@@ -151,12 +150,12 @@
     /// take them.
     void set_lapsing(const upstream_id& id);
     void set_domains_out(const std::set<failure_domain_id>& domains);
-    /// Calls per second that this host may send to each upstream of `service` in its cold
-    /// start; 0: no limit. Ignored if the service has no upstreams.
-    void set_cold_rate(const service_name& service, double calls_per_second);
-    /// Sets the hosts that divide the stated limits. Without this one, no calls to limited
+    /// Calls per second that all hosts together may send to each upstream of `service` in its
+    /// cold start; 0: no limit.
+    void set_cold_rate(const service_name& service, double calls_per_second, time_point now);
+    /// Sets the hosts that divide the limits of the fleet. Without this one, no calls to limited
     /// upstreams are sent.
-    void set_sharing_hosts(std::vector<host_id> hosts, time_point now);
+    void set_sharing_hosts(sharing_hosts hosts, time_point now);
     [[nodiscard]] std::vector<upstream_id> ids() const;
     [[nodiscard]] upstream_pointer find(const upstream_id& id) const;
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
@@ -206,8 +205,6 @@
     struct service_state
     {
         std::vector<upstream_pointer> upstreams;
-        // Calls per second of this host to each cold upstream; 0: no limit.
-        double cold_rate = 0;
         // Moving average of the duration of calls that found a free slot; zero if unknown.
         duration run_time{};
     };
@@ -221,10 +218,12 @@
     [[nodiscard]] static double estimated_load(const upstream& it, time_point now);
     // Relative cost of a call; 1 for an idle upstream of usual latency.
     [[nodiscard]] double cost(const upstream& it, time_point now) const;
-    // Tokens of a cold upstream, each good for one call; 1 for a warm one.
-    [[nodiscard]] double cold_tokens(const upstream& it, time_point now) const;
-    // Whether its cold start and its limit allow a call.
+    // Whether the rate of calls is limited because `it` is in its cold start.
+    [[nodiscard]] bool cold_limited(const upstream& it, time_point now) const;
+    // When its cold start and its limit allow a call: `now` or later.
+    [[nodiscard]] time_point next_call_at(const upstream& it, time_point now) const;
     [[nodiscard]] bool may_call(const upstream& it, time_point now) const;
+    void divide_cold_rate(upstream& it, time_point now);
     void divide_limit(upstream& it, time_point now);
     // Starts or extends the backoff; it doubles with each failure.
     void back_off(upstream& it, time_point now);
@@ -240,6 +239,8 @@
     std::unordered_map<std::uint32_t, upstream_pointer> by_report_key_;
     // Same entries as by_id_.
     std::unordered_map<service_name, service_state> by_service_;
+    // Calls per second of all hosts to each cold upstream of a service; positive.
+    std::unordered_map<service_name, double> cold_rates_;
     std::uint64_t calls_to_limited_ = 0;
 };
 
--- a/tests/auto/fanout/simulatedfleet.h
+++ b/tests/auto/fanout/simulatedfleet.h
@@ -123,7 +123,7 @@
             std::vector<host_id> all;
             for (std::size_t it = 0; it < hosts; ++it)
                 all.emplace_back("h" + std::to_string(it));
-            upstreams.set_sharing_hosts(all, time_point{});
+            upstreams.set_sharing_hosts({all, 0}, time_point{});
         }
         upstream_table upstreams;
         extra_budget budget{{0.2, 10s, 100}};
--- a/tests/auto/fanout/tst_fanout.cpp
+++ b/tests/auto/fanout/tst_fanout.cpp
@@ -351,7 +351,7 @@
                         .domain = failure_domain_id{"d"},
                         .cold_remaining = 5s},
                        f.now);
-    f.upstreams.set_cold_rate(service_name{"s0"}, 0.001);
+    f.upstreams.set_cold_rate(service_name{"s0"}, 0.001, f.now);
     f.start();
     cr_assert(f.ended_as<not_run_answer>() != nullptr);
 }
--- a/tests/auto/peers/peerfleet.h
+++ b/tests/auto/peers/peerfleet.h
@@ -4,6 +4,7 @@
 #include "peers/digestqueries.h"
 #include "peers/peertable.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -67,6 +68,7 @@
         host& it = *hosts[from];
         it.table.set_own_state(!it.leaving, false, true);
         it.table.update_relays(now);
+        static_cast<void>(it.table.calling_hosts(now));
         for (const endpoint& to : it.table.heartbeat_targets(it.leaving))
             deliver(from, to.port - 1U, {heartbeat_of(it), 0, 0, {}});
         if (it.table.small_fleet())
@@ -91,6 +93,18 @@
         }
         return out;
     }
+    /// Whether each host takes itself for an entry host.
+    [[nodiscard]] std::vector<bool> entry_hosts_by_number()
+    {
+        std::vector<bool> out;
+        for (const auto& it : hosts) {
+            const auto all = it->table.entry_hosts(now);
+            out.push_back(std::any_of(all.begin(), all.end(), [&](const host_record& entry) {
+                return entry.id == it->record.id;
+            }));
+        }
+        return out;
+    }
     [[nodiscard]] std::size_t up_count() const
     {
         std::size_t out = 0;
--- a/tests/auto/peers/tst_peerfleet.cpp
+++ b/tests/auto/peers/tst_peerfleet.cpp
@@ -145,3 +145,34 @@
     table.record_digest({&old, 1}, 0ms, f.now);
     cr_assert(table.entry_hosts(f.now).empty());
 }
+
+// All hosts lose each other while they still reach the upstreams. Guards against limits of the
+// fleet that are exceeded because each host takes the parts of those that it does not hear.
+Test(peer_fleet, parts_of_limits_add_up_while_hosts_do_not_hear_each_other)
+{
+    for (const std::size_t size : {13U, 195U}) {
+        peer_fleet f{size};
+        f.run(10s);
+        f.link = [](std::size_t, std::size_t) {
+            return false;
+        };
+        const std::vector<bool> had_callers = f.entry_hosts_by_number();
+        for (int step = 0; step < 20; ++step) {
+            f.step();
+            double sum = 0;
+            double sum_by_divisor = 0;
+            for (std::size_t it = 0; it < size; ++it) {
+                if (!had_callers[it])
+                    continue;
+                peer_table& table = f.hosts[it]->table;
+                fleet_share share{f.hosts[it]->record.id};
+                share.set_hosts(table.calling_hosts(f.now));
+                sum += share.equal_part_of(1.0);
+                sum_by_divisor += 1.0 / static_cast<double>(table.limit_divisor(f.now));
+            }
+            cr_log_info("%zu hosts: %.2f, by divisor %.2f", size, sum, sum_by_divisor);
+            // The platform tolerates one and a half times a limit.
+            cr_assert(sum > 0.4 && sum < 1.5, "%zu hosts: %.2f", size, sum);
+        }
+    }
+}
--- a/tests/auto/peers/tst_peertable.cpp
+++ b/tests/auto/peers/tst_peertable.cpp
@@ -244,11 +244,11 @@
     f.table.set_own_state(true, false, true);
     f.table.upsert(record("a", 5, 1), f.now);
     f.receive_heartbeat("a", 5);
-    cr_assert(f.table.calling_hosts(f.now).size() == 2);
+    cr_assert(f.table.calling_hosts(f.now).known.size() == 2);
     f.now += 29s;
-    cr_assert(f.table.calling_hosts(f.now).size() == 2);
+    cr_assert(f.table.calling_hosts(f.now).known.size() == 2);
     f.now += 2s;
-    cr_assert(f.table.calling_hosts(f.now).size() == 1);
+    cr_assert(f.table.calling_hosts(f.now).known.size() == 1);
 }
 
 // Guards against a host that takes the whole limits after its start, before it has heard from the
@@ -259,9 +259,9 @@
     f.table.set_own_state(true, false, true);
     for (const char* it : {"a", "b", "c"})
         f.table.upsert(record(it, 5, 1), f.now);
-    cr_assert(f.table.calling_hosts(f.now).size() == 4);
+    cr_assert(f.table.calling_hosts(f.now).known.size() == 4);
     f.now += 31s;
-    cr_assert(f.table.calling_hosts(f.now).size() == 1);
+    cr_assert(f.table.calling_hosts(f.now).known.size() == 1);
 }
 
 // Guards against parts of the limits for hosts that get no requests of callers, in a fleet of
@@ -277,7 +277,19 @@
         f.receive_heartbeat(id, 5);
     }
     f.table.update_relays(f.now);
-    const auto hosts = f.table.calling_hosts(f.now);
+    const auto hosts = f.table.calling_hosts(f.now).known;
     cr_assert(hosts.size() == f.table.entry_hosts(f.now).size());
     cr_assert(std::find(hosts.begin(), hosts.end(), host_id{"self"}) == hosts.end());
 }
+
+// Guards against a host that takes the whole limits because it has started without the list of
+// the others.
+Test(peer_table, host_that_knows_no_others_assumes_some)
+{
+    peer_fixture f;
+    f.table.set_own_state(true, false, true);
+    const sharing_hosts hosts = f.table.calling_hosts(f.now);
+    cr_assert(hosts.known.size() == 1 && hosts.unknown > 15);
+    f.table.upsert(record("a", 5, 1), f.now);
+    cr_assert(f.table.calling_hosts(f.now).unknown == 0);
+}
--- a/tests/auto/upstreams/tst_fleetshare.cpp
+++ b/tests/auto/upstreams/tst_fleetshare.cpp
@@ -26,7 +26,7 @@
     std::vector<double> out;
     for (const host_id& it : fleet(hosts)) {
         fleet_share share{it};
-        share.set_hosts(fleet(hosts));
+        share.set_hosts({fleet(hosts), 0});
         out.push_back(share.part_of(calls_per_second, key));
     }
     return out;
@@ -65,8 +65,10 @@
     }
     cr_assert(std::count(has_part.begin(), has_part.end(), true) == 13);
     fleet_share other{host_id{"other"}};
-    other.set_hosts(fleet(13));
-    cr_assert(other.part_of(100.0, "u") == 0);
+    other.set_hosts({fleet(13), 0});
+    cr_assert(other.part_of(100.0, "u") == 0 && other.equal_part_of(100.0) == 0);
+    other.set_hosts({{host_id{"other"}}, 19});
+    cr_assert(other.part_of(1.0, "u") == 0.05 && other.equal_part_of(1.0) == 0.05);
 }
 
 // Guards against tokens that exceed the capacity after a pause or a change of the rate.
@@ -75,7 +77,7 @@
     time_point now{1000s};
     token_bucket bucket;
     bucket.set_rate(4.0, 2.0, now);
-    bucket.clear(now);
+    bucket.set_tokens(0, now);
     cr_assert(!bucket.available(now) && bucket.available_at(now) == now + 250ms);
     cr_assert(bucket.available(now + 250ms));
     now += 1h;
--- a/tests/auto/upstreams/tst_upstreamtable.cpp
+++ b/tests/auto/upstreams/tst_upstreamtable.cpp
@@ -273,7 +273,7 @@
                    .slots = 4,
                    .cold_remaining = 10s},
                   now);
-        it.set_cold_rate(service, calls_per_second / hosts);
+        it.set_cold_rate(service, calls_per_second / hosts, now);
     }
     int calls = 0;
     int max_calls_per_second = 0;
@@ -309,7 +309,7 @@
 {
     table_fixture f;
     f.add("a");
-    f.table.set_sharing_hosts({host_id{"h"}, host_id{"other"}}, f.now);
+    f.table.set_sharing_hosts({{host_id{"h"}, host_id{"other"}}, 0}, f.now);
     f.table.limit_stated(f.at("a"), {4.0}, f.now, f.now);
     cr_assert(f.table.limited_count() == 1);
     int calls = 0;
