fanout: avoid an upstream that was overtaken before the usual time of calls is known

Cause, traced in the decisions: an upstream is put into backoff when its call takes twice the 90th percentile of the route. Until 16 calls have been timed the percentile is unknown and nothing counts as late, so every second query goes to the hung upstream, each takes one of the few hedges (3 in 10 s on a host that knows no other), and the next query waits for its time budget. In a fast build the endless reply reaches the limit of 1 MB before the hedge is due, which fails the call and hides this.

Ruled out: more hedges before the percentile is known; the budget is that of the fleet.

Change: until then, the call that overtook it, or else the target latency, takes the place of the percentile.

Result: the new test in tst_fanout failed before and passes.

--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -27,7 +27,8 @@
 // Delay before a hedge is tried again after the budget or a lack of free slots prevented it.
 constexpr duration hedge_retry_wait = milliseconds{15};
 // A call that takes longer than this multiple of the 90th percentile indicates that its
-// upstream is paused or slow.
+// upstream is paused or slow. Before the percentile is known, the call that overtook it, or else
+// the target latency, takes its place.
 constexpr int late_call_factor = 2;
 // Calls per target that may fail without a run, for example by a refusal, besides the allowed
 // attempts. Each costs a round trip.
@@ -113,6 +114,12 @@
     return std::clamp(times_.p90(), earliest, latest);
 }
 
+bool fan_out::very_late(const call& it, duration comparison, time_point now) const
+{
+    const duration usual = times_.p90() > duration::zero() ? times_.p90() : comparison;
+    return now - it.sent >= late_call_factor * usual;
+}
+
 bool fan_out::send(std::size_t index, call_reason reason, time_point now,
                    std::vector<fan_out_action>& out)
 {
@@ -238,11 +245,12 @@
         retry_or_fail(index, true, now, out);
         return;
     }
-    times_.add(now - it.sent);
+    const duration took = now - it.sent;
+    times_.add(took);
     end_call(it, call_result::replied, now);
     for (call_number number = 0; number < calls_.size(); ++number) {
         if (calls_[number].open && calls_[number].target == index)
-            abandon(number, now, out);
+            abandon(number, took, now, out);
     }
     of.reply = std::move(event.reply);
     of.hedge_at = time_point::max();
@@ -296,9 +304,8 @@
 {
     call_target& it = targets_[index];
     for (call& overdue : calls_) {
-        const bool very_late = now - overdue.sent >= late_call_factor * times_.p90();
-        if (overdue.open && overdue.target == index && !overdue.late_reported && very_late &&
-            times_.p90() > duration::zero()) {
+        if (overdue.open && overdue.target == index && !overdue.late_reported &&
+            very_late(overdue, plan_.matched_route->target_latency, now)) {
             overdue.late_reported = true;
             shared_.upstreams.call_late(*overdue.to, now);
         }
@@ -347,20 +354,14 @@
 
 void fan_out::finish(fan_out_outcome outcome, time_point now, std::vector<fan_out_action>& out)
 {
-    for (call_number it = 0; it < calls_.size(); ++it) {
-        if (calls_[it].open)
-            abandon(it, now, out);
-    }
+    abandon_all(now, out);
     finished_ = true;
     out.emplace_back(finish_request{std::move(outcome)});
 }
 
 void fan_out::cancel(time_point now, std::vector<fan_out_action>& out)
 {
-    for (call_number it = 0; it < calls_.size(); ++it) {
-        if (calls_[it].open)
-            abandon(it, now, out);
-    }
+    abandon_all(now, out);
     finished_ = true;
 }
 
@@ -376,12 +377,19 @@
         finish(failed_answer{reason, true}, now, out);
 }
 
-void fan_out::abandon(call_number number, time_point now, std::vector<fan_out_action>& out)
+void fan_out::abandon_all(time_point now, std::vector<fan_out_action>& out)
+{
+    for (call_number it = 0; it < calls_.size(); ++it) {
+        if (calls_[it].open)
+            abandon(it, plan_.matched_route->target_latency, now, out);
+    }
+}
+
+void fan_out::abandon(call_number number, duration comparison, time_point now,
+                      std::vector<fan_out_action>& out)
 {
     call& it = calls_[number];
-    const bool overdue =
-        times_.p90() > duration::zero() && now - it.sent >= late_call_factor * times_.p90();
-    if (overdue && !it.late_reported)
+    if (very_late(it, comparison, now) && !it.late_reported)
         shared_.upstreams.call_late(*it.to, now);
     end_call(it, call_result::cancelled, now);
     out.emplace_back(abandon_call{number});
--- a/src/libs/fanout/fanout.h
+++ b/src/libs/fanout/fanout.h
@@ -204,6 +204,9 @@
 
     [[nodiscard]] bool idempotent() const { return plan_.matched_route->idempotent; }
     [[nodiscard]] duration hedge_delay() const;
+    // Whether a call took so long that its upstream is paused or slow. `comparison` is the time
+    // of a usual call, for as long as that of the route's calls is not known.
+    [[nodiscard]] bool very_late(const call& it, duration comparison, time_point now) const;
     // Longest expected wait for a slot at which a request is admitted, before the factors
     // for its priority and for earlier refusals.
     [[nodiscard]] duration max_wait() const;
@@ -221,7 +224,10 @@
     void hedge(std::size_t index, time_point now, std::vector<fan_out_action>& out);
     void finish_if_decided(time_point now, std::vector<fan_out_action>& out);
     void finish(fan_out_outcome outcome, time_point now, std::vector<fan_out_action>& out);
-    void abandon(call_number number, time_point now, std::vector<fan_out_action>& out);
+    // `comparison` as in very_late().
+    void abandon(call_number number, duration comparison, time_point now,
+                 std::vector<fan_out_action>& out);
+    void abandon_all(time_point now, std::vector<fan_out_action>& out);
     [[nodiscard]] merged_answer merge() const;
     [[nodiscard]] duration retry_after(time_point now) const;
 
--- a/tests/auto/fanout/tst_fanout.cpp
+++ b/tests/auto/fanout/tst_fanout.cpp
@@ -356,6 +356,23 @@
     cr_assert(f.ended_as<not_run_answer>() != nullptr);
 }
 
+// The usual time of calls is not known yet. Guards against a host that has just started and sends
+// every second call to an upstream that never replies, until no hedges are left.
+Test(fan_out, upstream_that_a_hedge_overtakes_is_avoided_before_the_usual_time_is_known)
+{
+    fan_out_fixture f{1, 1.0};
+    f.add_all(2);
+    f.start();
+    f.advance(20ms);
+    cr_assert(f.calls.size() == 2 && f.calls[1].reason == call_reason::hedge);
+    const upstream_pointer slow = f.calls[0].to;
+    f.now += 5ms;
+    f.reply(1);
+    cr_assert(f.ended_as<merged_answer>() != nullptr);
+    for (int it = 0; it < 20; ++it)
+        cr_assert(f.upstreams.choose(service_name{"s0"}, {}, f.now) != slow);
+}
+
 // Limits leave too few shards. Guards against requests that are sent to some shards and fail, or
 // wait, although it is known that the answer cannot cover enough shards.
 Test(fan_out, refused_at_once_if_limits_leave_too_few_shards)
