--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -103,7 +103,8 @@
                       {"idle_timeout_ms", 15000}}}});
     }
 
-    // GET /runs returns the requests that the upstreams ran. POST with any other path takes
+    // GET /runs returns the requests that the upstreams ran, GET /arrivals the times in ms at which
+    // requests have reached each upstream. POST with any other path takes
     // a command: {"store": {...}, "fail": [upstream, fault, count], ...}.
     void serve_admin(http_exchange exchange)
     {
@@ -114,6 +115,14 @@
                 for (const auto& each : it->runs())
                     reply.push_back({each.request_id, each.method, each.target});
             }
+        } else if (exchange.request().target == "/arrivals") {
+            reply = json::array();
+            for (const auto& it : upstreams_) {
+                json times = json::array();
+                for (const time_point at : it->arrivals())
+                    times.push_back(to_milliseconds(at.time_since_epoch()));
+                reply.push_back(std::move(times));
+            }
         } else {
             apply_command(json::parse(exchange.request().body, nullptr, false));
         }
@@ -146,6 +155,14 @@
             upstreams_[it[0].get<std::size_t>() % upstreams_.size()]->fail_next(
                 static_cast<standin::upstream_fault>(it[1].get<int>()), it[2].get<std::size_t>());
         }
+        // [upstream, requests a second]; a negative number ends the limit. The reply has the time in
+        // ms at which it was set.
+        if (command.contains("limit")) {
+            const json& it = command["limit"];
+            const auto rate = it[1].get<double>();
+            upstreams_[it[0].get<std::size_t>() % upstreams_.size()]->set_limit(
+                rate < 0 ? std::nullopt : std::optional{rate});
+        }
         if (command.contains("pause")) {
             const json& it = command["pause"];
             upstreams_[it[0].get<std::size_t>() % upstreams_.size()]->pause_until(
--- a/tests/standins/platform/platformupstream.cpp
+++ b/tests/standins/platform/platformupstream.cpp
@@ -67,6 +67,7 @@
                         after_answer::keep_open);
         return;
     }
+    arrivals_.push_back(timers_.now());
     upstream_fault fault = upstream_fault::none;
     if (!faults_.empty()) {
         fault = faults_.front();
@@ -116,6 +117,8 @@
     const std::string stamp = fmt::format("{}.{:x}", options_.id, stable_hash(id));
     std::vector<std::pair<std::string, std::string>> fields{
         {"X-Request-Id", id}, {"X-Server-Stamp", stamp}, {"X-Server-Load", load()}};
+    if (limit_)
+        fields.emplace_back("Server-Limit", fmt::format("{:.3f}", *limit_));
     const std::string body = result_records(id);
     if (!it->disconnected) {
         switch (it->fault) {
--- a/tests/standins/platform/platformupstream.h
+++ b/tests/standins/platform/platformupstream.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -72,6 +73,8 @@
 
     /// Applies the fault to the next `count` requests.
     void fail_next(upstream_fault fault, std::size_t count);
+    /// From now on replies state this limit of requests per second; nullopt: none.
+    void set_limit(std::optional<double> requests_per_second) { limit_ = requests_per_second; }
     void set_service_time(duration time) { options_.service_time = time; }
     /// Changes the instance id, as if another process had taken the address.
     void set_id(std::string id) { options_.id = std::move(id); }
@@ -79,6 +82,9 @@
     void pause_until(time_point until) { paused_until_ = until; }
 
     [[nodiscard]] const std::vector<run>& runs() const { return runs_; }
+    /// When requests have arrived, whether or not they ran. Without status checks and requests for
+    /// another upstream.
+    [[nodiscard]] const std::vector<time_point>& arrivals() const { return arrivals_; }
     [[nodiscard]] std::size_t connections() const { return server_.session_count(); }
 
 private:
@@ -102,7 +108,9 @@
 
     timer_queue& timers_;
     upstream_options options_;
+    std::optional<double> limit_;
     std::vector<run> runs_;
+    std::vector<time_point> arrivals_;
     std::uint32_t running_ = 0;
     std::deque<std::shared_ptr<job>> waiting_;
     // Ended jobs are kept until the next request, because the callback of a job's timer must
