upstreams: first calls leave a token of a stated limit to hedges

Cause: first calls used each token as soon as it was there. When the remaining replica paused for 200 ms, no token was left for the hedge.

Ruled out: larger parts; the limit is the upstream's.

Change: if a host's part of a limit holds more than one token, first calls leave one, unless no other upstream can take the call. Queues are estimated without the reserved token.

--- a/src/libs/upstreams/tokenbucket.h
+++ b/src/libs/upstreams/tokenbucket.h
@@ -33,6 +33,7 @@
         const double elapsed = std::chrono::duration<double>(now - updated_at_).count();
         return std::min(capacity_, tokens_ + elapsed * per_second_);
     }
+    [[nodiscard]] double capacity() const { return capacity_; }
     /// Whether a call may be sent now.
     [[nodiscard]] bool available(time_point now) const { return tokens(now) >= 1.0; }
     /// When a call may be sent, which is `now` or later; time_point::max() if never at this rate.
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -56,6 +56,9 @@
 // that fit into a datagram beside a digest.
 constexpr duration limit_report_time = std::chrono::seconds{30};
 constexpr std::size_t max_limit_reports = 64;
+// Tokens of a limit that first calls leave to hedges and retries. With the limited upstreams of a
+// shard used up, nothing could replace the remaining one during a pause.
+constexpr double reserved_tokens = 1.0;
 // An upstream is chosen with a probability proportional to its cost to the power of minus this.
 constexpr double weight_exponent = 3.0;
 
@@ -214,7 +217,7 @@
         return duration::zero();
     double least = std::numeric_limits<double>::max();
     for (const upstream_pointer& it : found->second.upstreams) {
-        if (!it->usable() || it->backoff_until_ > now || !may_call(*it, now))
+        if (!it->usable() || it->backoff_until_ > now || !may_call(*it, now) || reserved(*it, now))
             continue;
         const double slots = std::max<std::uint32_t>(1, it->entry_.slots);
         const double rounds = std::max(0.0, estimated_load(*it, now) + 1.0 - slots) / slots;
@@ -259,6 +262,7 @@
 {
     double total = 0.0;
     upstream_pointer chosen;
+    upstream_pointer last_reserved;
     upstream_pointer last_resort;
     for (const upstream_pointer& it : of_service(service)) {
         if (!it->usable() || std::find(excluded.begin(), excluded.end(), it) != excluded.end() ||
@@ -272,12 +276,18 @@
                 last_resort = it;
             continue;
         }
+        if (excluded.empty() && reserved(*it, now)) {
+            last_reserved = it;
+            continue;
+        }
         const double weight = std::pow(cost(*it, now), -weight_exponent);
         total += weight;
         if (random_.uniform() * total < weight)
             chosen = it;
     }
-    return chosen ? chosen : last_resort;
+    if (chosen)
+        return chosen;
+    return last_reserved ? last_reserved : last_resort;
 }
 
 bool upstream_table::cold_limited(const upstream& it, time_point now) const
@@ -300,6 +310,13 @@
     return next_call_at(it, now) <= now;
 }
 
+bool upstream_table::reserved(const upstream& it, time_point now)
+{
+    const token_bucket& tokens = it.limit_tokens_;
+    return it.limit_.calls_per_second && tokens.capacity() > 1.0 &&
+           tokens.tokens(now) < 1.0 + std::min(reserved_tokens, tokens.capacity() - 1.0);
+}
+
 time_point upstream_table::next_call_at(const service_name& service, time_point now) const
 {
     time_point out = time_point::max();
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -165,7 +165,8 @@
     [[nodiscard]] std::uint64_t calls_to_limited() const { return calls_to_limited_; }
 
     /// Chooses an upstream of `service` that is not in `excluded`, at random with a preference
-    /// for lower cost. Null if none can take a call.
+    /// for lower cost. Null if none can take a call. `excluded` is empty for the first call of a
+    /// request.
     [[nodiscard]] upstream_pointer
     choose(const service_name& service, std::span<const upstream_pointer> excluded, time_point now);
     /// Estimated time that a call to the least loaded upstream of `service` waits for a slot;
@@ -223,6 +224,9 @@
     // When its cold start and its limit allow a call: `now` or later.
     [[nodiscard]] time_point next_call_at(const upstream& it, time_point now) const;
     [[nodiscard]] bool may_call(const upstream& it, time_point now) const;
+    // Whether first calls of requests leave the token that is there to a hedge or a retry. Only
+    // limits that give this host more than one token are reserved.
+    [[nodiscard]] static bool reserved(const upstream& it, time_point now);
     void divide_cold_rate(upstream& it, time_point now);
     void divide_limit(upstream& it, time_point now);
     // Starts or extends the backoff; it doubles with each failure.
--- a/tests/auto/upstreams/tst_upstreamtable.cpp
+++ b/tests/auto/upstreams/tst_upstreamtable.cpp
@@ -423,3 +423,24 @@
     }
     cr_assert(reported.size() == 150);
 }
+
+// Guards against first calls that use up the limits of a shard's upstreams, so that a call to the
+// remaining one cannot be hedged while it is paused.
+Test(upstream_table, first_calls_leave_a_token_of_a_limit_to_hedges)
+{
+    table_fixture f;
+    f.add("a");
+    f.add("b");
+    f.table.limit_stated(f.at("a"), {3.0}, f.now, f.now);
+    f.now += 500ms;
+    cr_assert(f.choices(50)["b"] == 50);
+    const std::vector<upstream_pointer> tried{f.table.find(upstream_id{"b"})};
+    cr_assert(f.table.choose(service, tried, f.now) == f.table.find(upstream_id{"a"}));
+    f.now += 500ms;
+    cr_assert(f.choices(50)["a"] > 0);
+    // Without another upstream, first calls use it too.
+    f.call("a", call_result::replied);
+    f.call("a", call_result::replied);
+    f.table.remove(upstream_id{"b"});
+    cr_assert(f.table.choose(service, {}, f.now) != nullptr);
+}
--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -155,8 +155,8 @@
             upstreams_[it[0].get<std::size_t>() % upstreams_.size()]->fail_next(
                 static_cast<standin::upstream_fault>(it[1].get<int>()), it[2].get<std::size_t>());
         }
-        // [upstream, requests a second]; a negative number ends the limit. The reply has the time in
-        // ms at which it was set.
+        // [upstream, requests a second]; a negative number ends the limit. The reply has the time
+        // in ms at which it was set.
         if (command.contains("limit")) {
             const json& it = command["limit"];
             const auto rate = it[1].get<double>();
