upstreams, peers: limits of any size, ages of statements rounded up

Found by reading the diff. A stated limit may be any decimal number; 1e30 calls a second overflowed the conversion to a number of hosts. Ages were cut to whole milliseconds on the wire, so that a limit could look newer than its end. Change: the number of hosts bounds the conversion; ages are rounded up.

--- a/src/libs/peers/hostrecord.cpp
+++ b/src/libs/peers/hostrecord.cpp
@@ -102,7 +102,8 @@
     for (const limit_report& it : message.limits) {
         out.add_limit_upstream(it.upstream);
         out.add_limit_rate(it.limit.calls_per_second.value_or(no_limit_rate));
-        out.add_limit_age(encode_age(it.age));
+        // Rounded up: a statement must not look newer than it is.
+        out.add_limit_age(encode_age(it.age + std::chrono::microseconds{999}));
     }
     return out.SerializeAsString();
 }
--- a/src/libs/upstreams/fleetshare.cpp
+++ b/src/libs/upstreams/fleetshare.cpp
@@ -38,8 +38,11 @@
 
 double fleet_share::part_of(double calls_per_second, std::string_view key) const
 {
+    const auto count = static_cast<double>(hosts_.known.size());
+    // A limit may be any number, also one that no integer holds.
     const auto borne =
-        min_sharing_hosts + static_cast<std::size_t>(calls_per_second * simultaneous_calls_s);
+        min_sharing_hosts +
+        static_cast<std::size_t>(std::min(calls_per_second * simultaneous_calls_s, count));
     if (borne >= hosts_.known.size() || hosts_.unknown > 0 || !includes_self())
         return equal_part_of(calls_per_second);
     const auto weight = [&](const host_id& it) {
--- a/tests/auto/upstreams/tst_fleetshare.cpp
+++ b/tests/auto/upstreams/tst_fleetshare.cpp
@@ -38,15 +38,15 @@
 // that are exceeded because each of many hosts may send one call.
 Test(fleet_share, parts_add_up_to_the_limit_also_for_many_hosts)
 {
-    for (const std::size_t hosts : {1, 4, 13, 64, 460}) {
-        for (const double limit : {0.5, 1.0, 7.5, 38.1, 300.0}) {
+    for (const std::size_t hosts : {1U, 4U, 13U, 64U, 460U}) {
+        for (const double limit : {0.5, 1.0, 7.5, 38.1, 300.0, 1e30}) {
             double sum = 0;
             double with_part = 0;
             for (const double it : parts(hosts, limit, "u")) {
                 sum += it;
                 with_part += it > 0 ? 1 : 0;
             }
-            cr_assert(std::abs(sum - limit) < 1e-6);
+            cr_assert(std::abs(sum / limit - 1.0) < 1e-9);
             // One call of each at once, and 4 s at the limit.
             cr_assert(with_part + 4 * limit <= 1.5 * 4 * limit + 5);
         }
