--- a/tests/auto/fanout/simulatedfleet.h
+++ b/tests/auto/fanout/simulatedfleet.h
@@ -53,6 +53,11 @@
         schedule(now_, [this] { exchange_limits(); });
     }
 
+    // A request in progress and the callbacks of its calls keep each other alive.
+    ~simulated_fleet() { drain(); }
+    simulated_fleet(const simulated_fleet&) = delete;
+    simulated_fleet& operator=(const simulated_fleet&) = delete;
+
     /// Generates requests with exponential gaps at a mean rate of `per_second` for `span`.
     void load(double per_second, duration span)
     {
