gateway, platform: report the epoch of the store and ignored lists

Cause: the logs could not tell apart whether hosts ignored the restored state, did not reach the store, or the store lacked the change: only applied changes were logged. Change: lines store_restored and list_ignored, a gauge and a counter. No decision changes.

--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -131,6 +131,13 @@
         send_watch();
 }
 
+void collection_watch::note_epoch(const http_message& reply)
+{
+    const std::uint64_t epoch = platform::decode_store_epoch(reply);
+    if (epoch != store_epoch_)
+        handlers_.epoch_seen(collection_, std::exchange(store_epoch_, epoch), epoch);
+}
+
 void collection_watch::send_list()
 {
     const platform::freshness needed = next_freshness();
@@ -138,6 +145,8 @@
     retry_.call_started(timers_.now());
     channel_.call(platform::encode_list(collection_, list_after_, needed, store_),
                   retry_.call_timeout(), [this](const std::optional<http_message>& reply) {
+                      if (reply)
+                          note_epoch(*reply);
                       if (!reply)
                           on_failure("no_reply");
                       else if (reply->status != status_ok)
@@ -174,6 +183,8 @@
         const auto list = std::exchange(listed_so_far_, {});
         if (copy_.replace(list))
             handlers_.listed(list.items);
+        else
+            handlers_.list_ignored(collection_, list.revision);
     }
     start_next_call();
 }
@@ -187,6 +198,8 @@
                                          gateway_constants::watch_wait, needed, store_),
                   gateway_constants::watch_wait + gateway_constants::store_call_margin,
                   [this](const std::optional<http_message>& reply) {
+                      if (reply)
+                          note_epoch(*reply);
                       if (!reply)
                           on_failure("no_reply");
                       else if (platform::history_is_gone(reply->status))
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -22,6 +22,12 @@
     std::function<void(const std::vector<platform::stored_item>&)> changed;
     /// Contact with the store was lost (with a reason) or regained (empty reason).
     std::function<void(platform::store_collection, std::string_view)> contact_changed;
+    /// A reply shows that the store was restored from an older copy, or its first reply came
+    /// (`before` is 0 then).
+    std::function<void(platform::store_collection, std::uint64_t before, std::uint64_t epoch)>
+        epoch_seen;
+    /// A complete list was ignored because the copy is newer.
+    std::function<void(platform::store_collection, std::uint64_t list_revision)> list_ignored;
     /// A `list` or `watch` call is about to be sent.
     std::function<void(platform::store_collection, std::string_view call, platform::freshness)>
         call_started;
@@ -90,6 +96,7 @@
 private:
     static constexpr std::uint32_t max_failures_in_contact = 2;
 
+    void note_epoch(const http_message& reply);
     void send_list();
     void send_watch();
     void on_history_gone();
@@ -135,6 +142,8 @@
     // Waits after a gap in the history, while other hosts read the newest state.
     bool gap_pause_ = false;
     bool store_unavailable_ = false;
+    // Of the latest reply; 0 before the first one.
+    std::uint64_t store_epoch_ = 0;
     store_retry retry_;
 };
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -147,6 +147,13 @@
             [this](store_collection collection, std::string_view reason) {
                 on_store_contact_changed(collection, reason);
             },
+            [this](store_collection collection, std::uint64_t before, std::uint64_t epoch) {
+                on_store_epoch(collection, before, epoch);
+            },
+            [this](store_collection collection, std::uint64_t list_revision) {
+                log_.write(log_level::warning, "list_ignored",
+                           {{"collection", to_string(collection)}, {"revision", list_revision}});
+            },
             [this](store_collection collection, std::string_view call, platform::freshness needed) {
                 log_.write(log_level::debug, "store_call",
                            {{"collection", to_string(collection)},
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -69,6 +69,8 @@
     void on_removed_domains(const std::vector<platform::stored_item>& items, bool is_full_list);
     void on_hosts(const std::vector<platform::stored_item>& items, bool is_full_list);
     void on_store_contact_changed(platform::store_collection collection, std::string_view reason);
+    void on_store_epoch(platform::store_collection collection, std::uint64_t before,
+                        std::uint64_t epoch);
     void on_heartbeat_due();
     void on_peer_message(const peer_message& message, const endpoint& from);
     // Asks relays for digests; only in a large fleet.
@@ -147,6 +149,8 @@
     bool is_entry_host_ = false;
     // Some registered hosts are not entry hosts.
     bool non_entry_hosts_exist_ = false;
+    // Newest epoch of the store that its replies have shown; see platform::decode_store_epoch().
+    std::uint64_t store_epoch_ = 0;
     // Newest changes that other hosts had applied when this one sent its last heartbeat.
     applied_revisions newest_peer_changes_;
     loop_timer log_timer_;
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -141,6 +141,7 @@
                              .upstream_connections_opened = pool_.connections_opened(),
                              .caller_connections = caller_server_.session_count(),
                              .entry_hosts = peers_.entry_hosts(timers_.now()).size(),
+                             .store_epoch = store_epoch_,
                              .log_lines_dropped = log_.dropped()});
     send_answer(exchange, [&](platform::connection_use use) {
         return platform::encode_answer(
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -1,6 +1,7 @@
 // Handlers of changes in the store: configuration, removed failure domains and hosts.
 #include "gateway/gateway.h"
 
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -18,6 +19,17 @@
                    {{"collection", to_string(collection)}, {"reason", reason}});
 }
 
+void gateway::on_store_epoch(store_collection collection, std::uint64_t before, std::uint64_t epoch)
+{
+    store_epoch_ = std::max(store_epoch_, epoch);
+    if (before == 0)
+        return;
+    if (epoch > before)
+        metrics_.store_restored();
+    log_.write(log_level::warning, "store_restored",
+               {{"collection", to_string(collection)}, {"epoch", epoch}, {"before", before}});
+}
+
 void gateway::on_configuration(const std::vector<stored_item>& items)
 {
     for (const stored_item& it : items) {
--- a/src/libs/metrics/gatewaymetrics.cpp
+++ b/src/libs/metrics/gatewaymetrics.cpp
@@ -58,6 +58,12 @@
                                                    .Name("ebonywick_gateway_store_calls_total")
                                                    .Help("Calls to the platform's store")
                                                    .Register(registry);
+    Counter& store_restorations =
+        prometheus::BuildCounter()
+            .Name("ebonywick_gateway_store_restorations_total")
+            .Help("Restorations of the store from an older copy, counted once for each collection")
+            .Register(registry)
+            .Add({});
     // Time series by label value, since a look-up in the family costs more than the rest of an
     // update.
     std::map<std::pair<std::string, std::string>, Histogram*> request_series;
@@ -110,6 +116,11 @@
     state_->store_calls.Add({{"outcome", std::string{outcome}}}).Increment();
 }
 
+void gateway_metrics::store_restored()
+{
+    state_->store_restorations.Increment();
+}
+
 std::string gateway_metrics::exposition(const gauges& values)
 {
     const auto set = [&](const char* name, const char* help, double value) {
@@ -136,6 +147,8 @@
         static_cast<double>(values.caller_connections));
     set("ebonywick_gateway_entry_hosts", "Entry hosts that callers are told to use",
         static_cast<double>(values.entry_hosts));
+    set("ebonywick_gateway_store_epoch", "Restorations of the store that its replies state",
+        static_cast<double>(values.store_epoch));
     set("ebonywick_gateway_log_lines_dropped", "Log lines dropped since the start",
         static_cast<double>(values.log_lines_dropped));
     return prometheus::TextSerializer{}.Serialize(state_->registry.Collect());
--- a/src/libs/metrics/gatewaymetrics.h
+++ b/src/libs/metrics/gatewaymetrics.h
@@ -29,6 +29,8 @@
     /// An answer left out `count` shards.
     void shards_missing(std::size_t count);
     void store_call(std::string_view outcome);
+    /// A collection was read for the first time after the store had been restored from a copy.
+    void store_restored();
 
     /// Values that are read when the metrics are exported.
     struct gauges
@@ -45,6 +47,8 @@
         std::size_t caller_connections = 0;
         // Entry hosts that callers are told to use.
         std::size_t entry_hosts = 0;
+        // As stated by the store's latest reply.
+        std::uint64_t store_epoch = 0;
         // Log lines dropped since the start.
         std::uint64_t log_lines_dropped = 0;
     };
