--- a/tests/standins/platform/platformstore.cpp
+++ b/tests/standins/platform/platformstore.cpp
@@ -49,12 +49,12 @@
     server_.set_limits({.body_bytes = 1U << 20U, .idle_timeout = std::chrono::minutes{10}});
 }
 
-void platform_store::answer(http_exchange& exchange, int status, const json& body)
+void platform_store::answer(http_exchange& exchange, int status, const json& body) const
 {
     const std::string text = body.dump();
     exchange.answer(fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
-                                "Content-Length: {}\r\n\r\n{}",
-                                status, reason_phrase(status), text.size(), text),
+                                "Store-Era: {}\r\nContent-Length: {}\r\n\r\n{}",
+                                status, reason_phrase(status), epoch_, text.size(), text),
                     after_answer::keep_open);
 }
 
@@ -143,7 +143,7 @@
 void platform_store::watch(http_exchange exchange, const std::string& kind, std::uint64_t after,
                            duration wait)
 {
-    if (after < history_begin_) {
+    if (after < history_begin_ || after > revision_) {
         answer(exchange, 410, {{"error", "history is gone"}});
         return;
     }
@@ -250,6 +250,15 @@
     history_begin_ = revision_;
 }
 
+void platform_store::restore(const store_copy& copy)
+{
+    ++epoch_;
+    revision_ = copy.revision;
+    kinds_ = copy.objects;
+    forget_history();
+    cut_watches();
+}
+
 void platform_store::cut_watches()
 {
     while (!watchers_.empty()) {
--- a/tests/standins/platform/platformstore.h
+++ b/tests/standins/platform/platformstore.h
@@ -32,6 +32,16 @@
     auto operator<=>(const store_faults&) const = default;
 };
 
+/// Objects by kind and name.
+using store_objects = std::map<std::string, std::map<std::string, nlohmann::json>>;
+
+/// Copy of the objects and their revision, from which the store can be restored.
+struct store_copy
+{
+    std::uint64_t revision = 0;
+    store_objects objects;
+};
+
 /// Runs on the event loop of its owner; not thread-safe.
 class platform_store
 {
@@ -47,6 +57,11 @@
     /// Closes the connections of all waiting watches without an answer.
     void cut_watches();
 
+    [[nodiscard]] store_copy copy() const { return {revision_, kinds_}; }
+    /// Returns to the state of `copy` and begins a new epoch, whose revisions follow that of the
+    /// copy. The history is dropped and waiting watches are cut.
+    void restore(const store_copy& copy);
+
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
     [[nodiscard]] std::map<std::string, nlohmann::json> objects(const std::string& kind) const;
@@ -79,7 +94,7 @@
     void write(http_exchange& exchange, const std::string& kind, const std::string& name);
     void record_change(const std::string& kind, const nlohmann::json& object, bool deleted);
     [[nodiscard]] nlohmann::json events_after(const std::string& kind, std::uint64_t after) const;
-    static void answer(http_exchange& exchange, int status, const nlohmann::json& body);
+    void answer(http_exchange& exchange, int status, const nlohmann::json& body) const;
 
     timer_queue& timers_;
     store_faults faults_;
@@ -89,7 +104,9 @@
     // All changes after this revision are in history_.
     std::uint64_t history_begin_ = 1;
     std::deque<change> history_;
-    std::map<std::string, std::map<std::string, nlohmann::json>> kinds_;
+    store_objects kinds_;
+    // Begins at 1 and rises with each restoration.
+    std::uint64_t epoch_ = 1;
     std::list<std::unique_ptr<watcher>> watchers_;
     std::list<std::unique_ptr<loop_timer>> delayed_;
     // Exchanges received while the store is silent; kept open without an answer.
