gateway, platform, peers: order states of the store by its epoch and by their writers

What callers saw: a configuration that had been acknowledged was not in force, and its new route was answered with 404. Cause: hosts ordered all states by the store's revision and believed it to rise for ever. A store that is restored from an older copy gives revisions out again: lists were ignored, watches waited at a revision that belonged to something else, and hosts at the same number did not ask each other. What a host knew before the epoch is retained against an older state in the store: by the order of the writer (version, report number), and what was deleted stays so, until the writer writes again or had time for it. The first watch after a failure does not wait, because one that waits shows no epoch. Hosts that start later read what others retain. A host whose entry was lost registers again. Why it works: the epoch makes the revisions unique, and the writer's order is not the store's to lose.

--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -14,6 +14,8 @@
 constexpr int status_ok = 200;
 // Start of the reasons for failures of calls that the store answered with unreadable content.
 constexpr std::string_view unreadable_reason = "unreadable";
+// A late reply, or one of a part of the store that was not restored yet.
+constexpr std::string_view earlier_epoch_reason = "unreadable_earlier_epoch";
 
 } // namespace
 
@@ -22,7 +24,9 @@
                                    watch_policy policy, collection_handlers handlers)
     : store_(store), collection_(collection), policy_(policy), handlers_(std::move(handlers)),
       timers_(timers), channel_(loop, timers, store),
-      pause_timer_(timers, [this] { start_next_call(); })
+      pause_timer_(timers, [this] { start_next_call(); }),
+      copy_([collection](const platform::stored_item& it) { return order_of(collection, it); }),
+      settle_timer_(timers, [this] { settle_due(); })
 {
 }
 
@@ -44,9 +48,11 @@
         restart_call();
 }
 
-void collection_watch::catch_up(std::uint64_t revision)
+void collection_watch::catch_up(std::uint64_t epoch, std::uint64_t revision)
 {
-    if (revision <= copy_.revision() || source_ == change_source::other_hosts) {
+    const bool missing =
+        epoch > copy_.epoch() || (epoch == copy_.epoch() && revision > copy_.revision());
+    if (!missing || source_ == change_source::other_hosts) {
         behind_since_ = time_point::max();
         return;
     }
@@ -83,6 +89,8 @@
     case collection_copy::adoption::ignored:
         return false;
     case collection_copy::adoption::changed:
+        gap_waited_ = false;
+        retain();
         if (!changed.empty())
             handlers_.changed(changed);
         return true;
@@ -90,7 +98,9 @@
         needs_list_ = false;
         listed_so_far_ = {};
         list_after_.clear();
-        handlers_.listed(update.page.items);
+        gap_waited_ = false;
+        retain();
+        handlers_.listed(copy_.list());
         return true;
     }
     return false;
@@ -127,15 +137,74 @@
     }
     if (needs_list_)
         send_list();
+    else if (outdated())
+        on_gap();
     else
         send_watch();
 }
 
-void collection_watch::note_epoch(const http_message& reply)
+std::uint64_t collection_watch::note_epoch(const http_message& reply)
 {
     const std::uint64_t epoch = platform::decode_store_epoch(reply);
-    if (epoch != store_epoch_)
-        handlers_.epoch_seen(collection_, std::exchange(store_epoch_, epoch), epoch);
+    if (epoch == 0)
+        return store_epoch_;
+    if (epoch > store_epoch_) {
+        store_epoch_ = epoch;
+        handlers_.epoch_seen(collection_, epoch);
+    }
+    return epoch;
+}
+
+void collection_watch::set_store_epoch(std::uint64_t epoch)
+{
+    if (epoch <= store_epoch_)
+        return;
+    store_epoch_ = epoch;
+    if (outdated())
+        restart_call();
+}
+
+void collection_watch::check_store_epoch(std::uint64_t epoch)
+{
+    if (epoch <= checked_epoch_ || epoch <= store_epoch_)
+        return;
+    checked_epoch_ = epoch;
+    probe_next_ = true;
+    restart_call();
+}
+
+void collection_watch::retain()
+{
+    if (copy_.retained_count() == 0) {
+        settle_timer_.cancel();
+        return;
+    }
+    // Later lists of the same epoch do not extend the time.
+    if (retained_epoch_ == copy_.epoch())
+        return;
+    retained_epoch_ = copy_.epoch();
+    retained_since_ = timers_.now();
+    if (policy_.missing_retention != duration::max())
+        settle_timer_.set_after(policy_.missing_retention);
+}
+
+void collection_watch::settle_due()
+{
+    const time_point now = timers_.now();
+    // Writers that cannot reach the store have not repeated anything yet.
+    const bool readable = (store_reachable() && !store_unavailable_) || other_readers_;
+    if (!readable) {
+        retained_since_ = now;
+        settle_timer_.set_after(policy_.missing_retention);
+        return;
+    }
+    const bool all = now - retained_since_ >= policy_.outdated_retention;
+    const auto changed = copy_.settle(all ? collection_copy::settle_scope::all
+                                          : collection_copy::settle_scope::missing);
+    if (!changed.empty())
+        handlers_.settled(changed);
+    if (!all)
+        settle_timer_.set(retained_since_ + policy_.outdated_retention);
 }
 
 void collection_watch::send_list()
@@ -145,18 +214,17 @@
     retry_.call_started(timers_.now());
     channel_.call(platform::encode_list(collection_, list_after_, needed, store_),
                   retry_.call_timeout(), [this](const std::optional<http_message>& reply) {
-                      if (reply)
-                          note_epoch(*reply);
+                      const std::uint64_t epoch = reply ? note_epoch(*reply) : 0;
                       if (!reply)
                           on_failure("no_reply");
                       else if (reply->status != status_ok)
                           on_failure("status_" + std::to_string(reply->status));
                       else
-                          on_list(*reply);
+                          on_list(*reply, epoch);
                   });
 }
 
-void collection_watch::on_list(const http_message& reply)
+void collection_watch::on_list(const http_message& reply, std::uint64_t epoch)
 {
     auto decoded = platform::decode_list(reply.body);
     auto* page = std::get_if<platform::collection_page>(&decoded);
@@ -164,6 +232,10 @@
         on_failure("unreadable_list");
         return;
     }
+    if (epoch < copy_.epoch()) {
+        on_failure(earlier_epoch_reason);
+        return;
+    }
     on_success();
     // Another host has passed on the collection meanwhile.
     if (!needs_list_) {
@@ -172,8 +244,15 @@
     }
     // The watch starts at the first page's revision, so it also returns changes that were
     // made while later pages were read.
-    if (list_after_.empty())
+    if (list_after_.empty()) {
         listed_so_far_.revision = page->revision;
+        listed_so_far_.epoch = epoch;
+    } else if (listed_so_far_.epoch != epoch) {
+        listed_so_far_ = {};
+        list_after_.clear();
+        start_next_call();
+        return;
+    }
     if (page->has_more)
         list_after_ = page->items.back().name;
     std::move(page->items.begin(), page->items.end(), std::back_inserter(listed_so_far_.items));
@@ -181,10 +260,12 @@
         needs_list_ = false;
         list_after_.clear();
         const auto list = std::exchange(listed_so_far_, {});
-        if (copy_.replace(list))
-            handlers_.listed(list.items);
-        else
+        if (copy_.replace(list)) {
+            retain();
+            handlers_.listed(copy_.list());
+        } else {
             handlers_.list_ignored(collection_, list.revision);
+        }
     }
     start_next_call();
 }
@@ -194,27 +275,28 @@
     const platform::freshness needed = next_freshness();
     handlers_.call_started(collection_, "watch", needed);
     retry_.call_started(timers_.now());
-    channel_.call(platform::encode_watch(collection_, copy_.revision(),
-                                         gateway_constants::watch_wait, needed, store_),
-                  gateway_constants::watch_wait + gateway_constants::store_call_margin,
+    const bool probe = std::exchange(probe_next_, false);
+    const duration wait = probe ? gateway_constants::probe_wait : gateway_constants::watch_wait;
+    channel_.call(platform::encode_watch(collection_, copy_.revision(), wait, needed, store_),
+                  probe ? retry_.call_timeout() : wait + gateway_constants::store_call_margin,
                   [this](const std::optional<http_message>& reply) {
-                      if (reply)
-                          note_epoch(*reply);
+                      const std::uint64_t epoch = reply ? note_epoch(*reply) : 0;
                       if (!reply)
                           on_failure("no_reply");
-                      else if (platform::history_is_gone(reply->status))
-                          on_history_gone();
-                      else if (reply->status != status_ok)
+                      else if (platform::history_is_gone(reply->status)) {
+                          handlers_.call_ended("history_gone");
+                          on_gap();
+                      } else if (reply->status != status_ok)
                           on_failure("status_" + std::to_string(reply->status));
                       else
-                          on_events(*reply);
+                          on_events(*reply, epoch);
                   });
 }
 
-void collection_watch::on_history_gone()
+void collection_watch::on_gap()
 {
-    handlers_.call_ended("history_gone");
-    if (policy_.read_freshness == platform::freshness::stale_ok && other_readers_) {
+    if (policy_.read_freshness == platform::freshness::stale_ok && other_readers_ &&
+        !std::exchange(gap_waited_, true)) {
         // The hosts that read the newest state pass it on. If all hosts read it, a large fleet
         // would flood the store.
         gap_pause_ = true;
@@ -231,17 +313,28 @@
                                : duration::zero());
 }
 
-void collection_watch::on_events(const http_message& reply)
+void collection_watch::on_events(const http_message& reply, std::uint64_t epoch)
 {
     auto decoded = platform::decode_events(reply.body);
-    const auto* page = std::get_if<platform::collection_page>(&decoded);
+    auto* page = std::get_if<platform::collection_page>(&decoded);
     if (page == nullptr) {
         needs_list_ = true;
         on_failure("unreadable_events");
         return;
     }
+    if (epoch < copy_.epoch()) {
+        on_failure(earlier_epoch_reason);
+        return;
+    }
     on_success();
+    if (epoch > copy_.epoch()) {
+        // The revision of the watch belongs to something else in this epoch.
+        on_gap();
+        return;
+    }
     last_watch_had_gap_ = false;
+    gap_waited_ = false;
+    page->epoch = epoch;
     const auto changed = copy_.apply(*page);
     if (!changed.empty())
         handlers_.changed(changed);
@@ -270,6 +363,9 @@
         return;
     }
     handlers_.call_ended("failed");
+    probe_next_ = true;
+    if (reason == earlier_epoch_reason)
+        next_call_newest_ = true;
     store_unavailable_ = !reason.starts_with(unreadable_reason);
     listed_so_far_ = {};
     list_after_.clear();
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -20,14 +20,19 @@
     std::function<void(const std::vector<platform::stored_item>&)> listed;
     /// Changed and deleted items in the order of their revisions.
     std::function<void(const std::vector<platform::stored_item>&)> changed;
+    /// Changes because the store's state of retained items is accepted; see collection_copy.
+    std::function<void(const std::vector<platform::stored_item>&)> settled = [](const auto&) {
+    };
     /// Contact with the store was lost (with a reason) or regained (empty reason).
     std::function<void(platform::store_collection, std::string_view)> contact_changed;
-    /// A reply shows that the store was restored from an older copy, or its first reply came
-    /// (`before` is 0 then).
-    std::function<void(platform::store_collection, std::uint64_t before, std::uint64_t epoch)>
-        epoch_seen;
+    /// A reply states an epoch of the store that is newer than all before.
+    std::function<void(platform::store_collection, std::uint64_t epoch)> epoch_seen = [](auto,
+                                                                                         auto) {
+    };
     /// A complete list was ignored because the copy is newer.
-    std::function<void(platform::store_collection, std::uint64_t list_revision)> list_ignored;
+    std::function<void(platform::store_collection, std::uint64_t list_revision)> list_ignored =
+        [](auto, auto) {
+        };
     /// A `list` or `watch` call is about to be sent.
     std::function<void(platform::store_collection, std::string_view call, platform::freshness)>
         call_started;
@@ -49,6 +54,11 @@
     /// Lists read the newest state even if read_freshness is stale_ok. A stale list after a
     /// restart could show an older state than the host served before it.
     bool lists_read_newest = true;
+    /// After a restoration of the store, writers repeat what it has lost within these times: items
+    /// that it does not have, and items whose state is older than the known one. Afterwards its
+    /// state is accepted. duration::max(): never.
+    duration missing_retention = duration::max();
+    duration outdated_retention = duration::max();
 
     auto operator<=>(const watch_policy&) const = default;
 };
@@ -88,20 +98,33 @@
     void set_max_retry_pause(duration pause) { retry_.set_max_pause(pause); }
     /// The store did not answer the last call, or refused it.
     [[nodiscard]] bool store_unavailable() const { return store_unavailable_; }
-    /// Another host has applied a change with this revision. If the change does not arrive
-    /// here within gateway_constants::catch_up_delay, the watch is restarted and reads the
-    /// newest state. To be called regularly.
-    void catch_up(std::uint64_t revision);
+    /// Another host has applied a change with this revision of the store's `epoch`. If the change
+    /// does not arrive here within gateway_constants::catch_up_delay, the watch is restarted and
+    /// reads the newest state. To be called regularly.
+    void catch_up(std::uint64_t epoch, std::uint64_t revision);
+    /// The store is in this epoch, as another collection's reply states. A copy of an earlier epoch
+    /// is replaced.
+    void set_store_epoch(std::uint64_t epoch);
+    /// Another host has seen this epoch. The watch in progress is repeated once, to see the epoch
+    /// that the store states.
+    void check_store_epoch(std::uint64_t epoch);
 
 private:
     static constexpr std::uint32_t max_failures_in_contact = 2;
 
-    void note_epoch(const http_message& reply);
+    // Epoch that a reply states.
+    [[nodiscard]] std::uint64_t note_epoch(const http_message& reply);
+    // Whether the copy belongs to an earlier epoch of the store.
+    [[nodiscard]] bool outdated() const { return complete() && copy_.epoch() < store_epoch_; }
+    // Starts the time in which writers repeat what a restored store has lost.
+    void retain();
+    void settle_due();
     void send_list();
     void send_watch();
-    void on_history_gone();
-    void on_list(const http_message& reply);
-    void on_events(const http_message& reply);
+    // The changes after the copy's revision cannot be read.
+    void on_gap();
+    void on_list(const http_message& reply, std::uint64_t epoch);
+    void on_events(const http_message& reply, std::uint64_t epoch);
     void on_failure(std::string_view reason);
     void on_success();
     // Sends a list or a watch, whichever is due.
@@ -141,9 +164,22 @@
     bool ever_in_contact_ = false;
     // Waits after a gap in the history, while other hosts read the newest state.
     bool gap_pause_ = false;
+    // Has waited once since the last success, without effect.
+    bool gap_waited_ = false;
     bool store_unavailable_ = false;
-    // Of the latest reply; 0 before the first one.
+    // Newest epoch that a reply of the store has stated; 0 before the first one.
     std::uint64_t store_epoch_ = 0;
+    // Newest epoch for which check_store_epoch() has repeated the watch.
+    std::uint64_t checked_epoch_ = 0;
+    // The next watch does not wait for changes. After a restoration, its revision may have been
+    // given out again, and a waiting watch would not show that.
+    bool probe_next_ = false;
+    // When the copy was replaced in a new epoch, or the store was last found unavailable after
+    // that.
+    time_point retained_since_{};
+    // Epoch for which retained_since_ was set.
+    std::uint64_t retained_epoch_ = 0;
+    loop_timer settle_timer_;
     store_retry retry_;
 };
 
--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -41,6 +41,8 @@
 // Long, because each call is charged, but shorter than the 20 s of history that the store
 // keeps: after a longer wait the next watch would find its revision gone and need a list.
 inline constexpr duration watch_wait = milliseconds{16000};
+// Wait of a watch that is to be answered at once.
+inline constexpr duration probe_wait = milliseconds{1};
 // A watch without a reply this long after its wait counts as lost. Also the limit for data
 // that the store or another host does not acknowledge.
 inline constexpr duration store_call_margin = milliseconds{2000};
@@ -78,6 +80,14 @@
 // must get no calls.
 inline constexpr duration lapsed_entry_retention = milliseconds{2200};
 
+// How long an upstream's entry that a restored store does not have is kept: it comes back within
+// 2 s, and one that is still missing is gone.
+inline constexpr duration restored_entry_wait = milliseconds{2500};
+// How long the known state is kept if a restored store has an older one, or an object that was
+// deleted. Longer than three heartbeats of an upstream, after which the store removes the
+// entry of one that is gone; operators repeat their changes sooner.
+inline constexpr duration restored_state_wait = milliseconds{6000};
+
 // Number of hosts that read the newest state of the store; two of them may fail at once.
 inline constexpr std::size_t newest_reader_count = 3;
 // After a gap in the store's history a host whose reads may lag waits this long before the next
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -85,15 +85,15 @@
                                on_configuration(items);
                            })),
       upstream_watch_(loop, timers, settings.store, store_collection::upstreams,
-                      {gateway_constants::upstream_pause, platform::freshness::stale_ok},
-                      handlers_for([this](const auto& items, bool is_full_list) {
-                          if (is_full_list)
-                              upstream_updater_.on_listed(items);
-                          else
-                              upstream_updater_.on_changed(items);
-                      })),
+                      {.pause = gateway_constants::upstream_pause,
+                       .read_freshness = platform::freshness::stale_ok,
+                       .missing_retention = gateway_constants::restored_entry_wait,
+                       .outdated_retention = gateway_constants::restored_state_wait},
+                      upstream_handlers()),
       domain_watch_(loop, timers, settings.store, store_collection::removed_domains,
-                    {gateway_constants::configuration_pause, platform::freshness::stale_ok, false},
+                    {gateway_constants::configuration_pause, platform::freshness::stale_ok, false,
+                     gateway_constants::restored_state_wait,
+                     gateway_constants::restored_state_wait},
                     handlers_for([this](const auto& items, bool is_full_list) {
                         on_removed_domains(items, is_full_list);
                     })),
@@ -143,12 +143,13 @@
     const std::function<void(const std::vector<stored_item>&, bool is_full_list)>& apply)
 {
     return {[apply](const auto& items) { apply(items, true); },
+            [apply](const auto& items) { apply(items, false); },
             [apply](const auto& items) { apply(items, false); },
             [this](store_collection collection, std::string_view reason) {
                 on_store_contact_changed(collection, reason);
             },
-            [this](store_collection collection, std::uint64_t before, std::uint64_t epoch) {
-                on_store_epoch(collection, before, epoch);
+            [this](store_collection collection, std::uint64_t epoch) {
+                on_store_epoch(collection, epoch);
             },
             [this](store_collection collection, std::uint64_t list_revision) {
                 log_.write(log_level::warning, "list_ignored",
@@ -171,6 +172,20 @@
             }};
 }
 
+collection_handlers gateway::upstream_handlers()
+{
+    collection_handlers out = handlers_for([this](const auto& items, bool is_full_list) {
+        if (is_full_list)
+            upstream_updater_.on_listed(items);
+        else
+            upstream_updater_.on_changed(items);
+    });
+    out.settled = [this](const auto& items) {
+        upstream_updater_.on_settled(items);
+    };
+    return out;
+}
+
 void gateway::on_reply_reported(const upstream_pointer& from, const platform::decoded_reply& reply)
 {
     if (reply.load)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -57,7 +57,15 @@
     // Reads newer changes from another host: if this one does not watch the store, or if they
     // have not arrived from the store.
     void follow_peers(time_point now);
-    void adopt_snapshot(const endpoint& source, const std::optional<http_message>& reply);
+    // Reads what other hosts retain that a restored store has lost; once in an epoch, and only if
+    // this host did not know the state before it.
+    void read_retained(time_point now);
+    // Reads what a host has after `since`. If `retained_epoch` is not 0, the snapshot includes what
+    // the host retains in that epoch.
+    void read_snapshot(const endpoint& source, const applied_revisions& since,
+                       std::uint64_t retained_epoch);
+    // False if the reply is not a snapshot.
+    bool adopt_snapshot(const endpoint& source, const std::optional<http_message>& reply);
     void refuse(http_exchange& exchange, int status, std::string_view reason,
                 std::string_view request_id);
     // Takes over what a reply says about the state of its upstream.
@@ -69,8 +77,7 @@
     void on_removed_domains(const std::vector<platform::stored_item>& items, bool is_full_list);
     void on_hosts(const std::vector<platform::stored_item>& items, bool is_full_list);
     void on_store_contact_changed(platform::store_collection collection, std::string_view reason);
-    void on_store_epoch(platform::store_collection collection, std::uint64_t before,
-                        std::uint64_t epoch);
+    void on_store_epoch(platform::store_collection collection, std::uint64_t epoch);
     void on_heartbeat_due();
     void on_peer_message(const peer_message& message, const endpoint& from);
     // Asks relays for digests; only in a large fleet.
@@ -80,12 +87,18 @@
     [[nodiscard]] peer_message own_message();
     void update_watch_freshness(time_point now);
     void warm_connections();
+    // A revision of each copy in the newest epoch among them; 0 for copies of earlier epochs.
+    [[nodiscard]] applied_revisions
+    revisions(const std::function<std::uint64_t(const collection_copy&)>& revision_of) const;
     [[nodiscard]] applied_revisions applied() const;
     // Revisions of the local copies.
     [[nodiscard]] applied_revisions known() const;
     // Watches the store and is in contact with it.
     [[nodiscard]] bool reads_store() const;
     void check_leave_progress();
+    [[nodiscard]] collection_handlers upstream_handlers();
+    // Registers this host again if a restored store has lost its entry.
+    void repeat_registration();
     [[nodiscard]] collection_handlers handlers_for(
         const std::function<void(const std::vector<platform::stored_item>&, bool is_full_list)>&
             apply);
@@ -151,6 +164,9 @@
     bool non_entry_hosts_exist_ = false;
     // Newest epoch of the store that its replies have shown; see platform::decode_store_epoch().
     std::uint64_t store_epoch_ = 0;
+    // Epoch at whose beginning this host knew the state before it, or has read what other hosts
+    // retain.
+    std::uint64_t retained_epoch_ = 0;
     // Newest changes that other hosts had applied when this one sent its last heartbeat.
     applied_revisions newest_peer_changes_;
     loop_timer log_timer_;
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -157,11 +157,13 @@
     }
     const applied_revisions known = decode_snapshot_target(exchange.request().target);
     send_answer(exchange, [&](platform::connection_use use) {
-        return encode_snapshot_answer({configuration_watch_.copy().since(known.configuration),
-                                       upstream_watch_.copy().since(known.upstreams),
-                                       domain_watch_.copy().since(known.domains),
-                                       host_watch_.copy().since(known.hosts)},
-                                      use);
+        const std::uint64_t epoch = known.epoch;
+        return encode_snapshot_answer(
+            {configuration_watch_.copy().since(epoch, known.configuration),
+             upstream_watch_.copy().since(epoch, known.upstreams),
+             domain_watch_.copy().since(epoch, known.domains),
+             host_watch_.copy().since(epoch, known.hosts)},
+            use);
     });
 }
 
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -6,6 +6,7 @@
 #include "gateway/storesnapshot.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 
 namespace ebonywick {
@@ -61,7 +62,12 @@
 host_heartbeat gateway::own_heartbeat() const
 {
     const bool leaving = leaving_since_ != time_point::max();
-    return {settings_.host, incarnation_, ready(), leaving, strained_, applied(), reads_store()};
+    const bool retains =
+        configuration_watch_.copy().retained_count() + upstream_watch_.copy().retained_count() +
+            domain_watch_.copy().retained_count() + host_watch_.copy().retained_count() !=
+        0;
+    return {settings_.host, incarnation_, ready(),       leaving,
+            strained_,      applied(),    reads_store(), retains};
 }
 
 peer_message gateway::own_message()
@@ -85,6 +91,7 @@
     if (now < ignore_datagrams_until_ || now > heartbeat_due_ + peers_.heartbeat_interval())
         return;
     peers_.record_heartbeat(message.heartbeat, now);
+    configuration_watch_.check_store_epoch(message.heartbeat.applied.epoch);
     for (const limit_report& it : message.limits) {
         if (const upstream_pointer of = upstreams_.find_reported(it.upstream))
             on_limit_stated(of, it.limit, now - it.age, "host");
@@ -106,16 +113,29 @@
     }
 }
 
+applied_revisions
+gateway::revisions(const std::function<std::uint64_t(const collection_copy&)>& revision_of) const
+{
+    const std::array copies{&configuration_watch_.copy(), &upstream_watch_.copy(),
+                            &domain_watch_.copy(), &host_watch_.copy()};
+    std::uint64_t epoch = 0;
+    for (const collection_copy* it : copies)
+        epoch = std::max(epoch, it->epoch());
+    const auto in_epoch = [&](const collection_copy& it) {
+        return it.epoch() == epoch ? revision_of(it) : 0;
+    };
+    return {in_epoch(*copies[0]), in_epoch(*copies[1]), in_epoch(*copies[2]), in_epoch(*copies[3]),
+            epoch};
+}
+
 applied_revisions gateway::applied() const
 {
-    return {configuration_watch_.copy().newest_change(), upstream_watch_.copy().newest_change(),
-            domain_watch_.copy().newest_change(), host_watch_.copy().newest_change()};
+    return revisions([](const collection_copy& it) { return it.newest_change(); });
 }
 
 applied_revisions gateway::known() const
 {
-    return {configuration_watch_.copy().revision(), upstream_watch_.copy().revision(),
-            domain_watch_.copy().revision(), host_watch_.copy().revision()};
+    return revisions([](const collection_copy& it) { return it.revision(); });
 }
 
 bool gateway::reads_store() const
@@ -157,9 +177,10 @@
     }
     // Uses the changes that were known at the previous heartbeat, so that a change has one
     // heartbeat interval to arrive by the watch.
-    configuration_watch_.catch_up(newest_peer_changes_.configuration);
-    upstream_watch_.catch_up(newest_peer_changes_.upstreams);
-    domain_watch_.catch_up(newest_peer_changes_.domains);
+    const std::uint64_t epoch = newest_peer_changes_.epoch;
+    configuration_watch_.catch_up(epoch, newest_peer_changes_.configuration);
+    upstream_watch_.catch_up(epoch, newest_peer_changes_.upstreams);
+    domain_watch_.catch_up(epoch, newest_peer_changes_.domains);
     newest_peer_changes_ = peers_.newest_applied();
 }
 
@@ -203,8 +224,33 @@
     domain_watch_.start();
 }
 
+void gateway::read_retained(time_point now)
+{
+    const std::uint64_t epoch = known().epoch;
+    if (retained_epoch_ >= epoch || !configuration_watch_.complete() || snapshot_channel_.busy())
+        return;
+    const auto sources = peers_.retaining_hosts(epoch, now);
+    if (sources.empty())
+        return;
+    read_snapshot(sources[random_.below(sources.size())].control, {}, epoch);
+}
+
+void gateway::read_snapshot(const endpoint& source, const applied_revisions& since,
+                            std::uint64_t retained_epoch)
+{
+    next_snapshot_read_ = timers_.now() + gateway_constants::snapshot_read_interval;
+    snapshot_channel_.set_server(source);
+    snapshot_channel_.call(
+        encode_snapshot_request(source, since), gateway_constants::snapshot_read_timeout,
+        [this, source, retained_epoch](const std::optional<http_message>& reply) {
+            if (adopt_snapshot(source, reply))
+                retained_epoch_ = std::max(retained_epoch_, retained_epoch);
+        });
+}
+
 void gateway::follow_peers(time_point now)
 {
+    read_retained(now);
     const auto ahead = peers_.hosts_ahead_of(known(), now);
     behind_since_ = ahead.empty() ? time_point::max() : std::min(behind_since_, now);
     if (snapshot_channel_.busy() || now < next_snapshot_read_)
@@ -230,17 +276,10 @@
     failed_snapshot_source_.reset();
     if (sources.empty())
         return;
-    next_snapshot_read_ = now + gateway_constants::snapshot_read_interval;
-    const endpoint source = sources[random_.below(sources.size())];
-    snapshot_channel_.set_server(source);
-    snapshot_channel_.call(encode_snapshot_request(source, known()),
-                           gateway_constants::snapshot_read_timeout,
-                           [this, source](const std::optional<http_message>& reply) {
-                               adopt_snapshot(source, reply);
-                           });
+    read_snapshot(sources[random_.below(sources.size())], known(), 0);
 }
 
-void gateway::adopt_snapshot(const endpoint& source, const std::optional<http_message>& reply)
+bool gateway::adopt_snapshot(const endpoint& source, const std::optional<http_message>& reply)
 {
     const auto snapshot = reply ? decode_snapshot(reply->body) : std::nullopt;
     std::string adopted;
@@ -263,8 +302,10 @@
                {{"from", to_string(source)},
                 {"outcome", snapshot ? "read" : "failed"},
                 {"adopted", adopted},
+                {"epoch", known().epoch},
                 {"configuration", configuration_watch_.copy().revision()},
                 {"upstreams", upstream_watch_.copy().revision()}});
+    return snapshot.has_value();
 }
 
 void gateway::warm_connections()
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace ebonywick {
 
@@ -19,13 +20,18 @@
                    {{"collection", to_string(collection)}, {"reason", reason}});
 }
 
-void gateway::on_store_epoch(store_collection collection, std::uint64_t before, std::uint64_t epoch)
+void gateway::on_store_epoch(store_collection collection, std::uint64_t epoch)
 {
-    store_epoch_ = std::max(store_epoch_, epoch);
+    const std::uint64_t before = std::exchange(store_epoch_, std::max(store_epoch_, epoch));
+    if (epoch <= before)
+        return;
+    for (collection_watch* it :
+         {&configuration_watch_, &upstream_watch_, &domain_watch_, &host_watch_})
+        it->set_store_epoch(epoch);
     if (before == 0)
         return;
-    if (epoch > before)
-        metrics_.store_restored();
+    retained_epoch_ = epoch;
+    metrics_.store_restored();
     log_.write(log_level::warning, "store_restored",
                {{"collection", to_string(collection)}, {"epoch", epoch}, {"before", before}});
 }
@@ -45,7 +51,8 @@
         }
         auto& config = std::get<routing_configuration>(decoded);
         const std::uint64_t before = routes_ ? routes_->configuration().version : 0;
-        if (config.version <= before && routes_)
+        // An operator may give a version that a restored store has lost to other content.
+        if (routes_ && (config.version < before || config == routes_->configuration()))
             continue;
         caller_server_.set_limits(config.limits);
         for (const service_policy& policy : config.services)
@@ -103,7 +110,20 @@
         if (!present.contains(it))
             peers_.remove(it);
     }
-    begin_registration();
+    if (registration_begun_)
+        repeat_registration();
+    else
+        begin_registration();
+}
+
+void gateway::repeat_registration()
+{
+    const auto stored = host_watch_.copy().stored(settings_.host.value());
+    const auto record = stored ? decode_host_record(stored->name, stored->content) : std::nullopt;
+    if (!registration_.done() || registration_.is_kept(record))
+        return;
+    log_.write(log_level::warning, "registration_lost", {{"epoch", host_watch_.copy().epoch()}});
+    registration_.start(record);
 }
 
 } // namespace ebonywick
--- a/src/libs/gateway/hostregistration.cpp
+++ b/src/libs/gateway/hostregistration.cpp
@@ -18,16 +18,21 @@
 {
 }
 
+bool host_registration::is_kept(const std::optional<host_record>& existing) const
+{
+    if (!existing || existing->incarnation > own_.incarnation)
+        return false;
+    host_record same = *existing;
+    same.incarnation = own_.incarnation;
+    return same == own_;
+}
+
 void host_registration::start(const std::optional<host_record>& existing)
 {
-    if (existing && existing->incarnation < own_.incarnation) {
-        host_record same = *existing;
-        same.incarnation = own_.incarnation;
-        if (same == own_) {
-            done_ = true;
-            on_registered_();
-            return;
-        }
+    done_ = is_kept(existing);
+    if (done_) {
+        on_registered_();
+        return;
     }
     create_next_ = !existing;
     write();
@@ -41,6 +46,7 @@
                   write_timeout, [this](const std::optional<http_message>& reply) {
                       if (reply && reply->status >= 200 && reply->status < 300) {
                           done_ = true;
+                          retry_.succeeded();
                           on_registered_();
                           return;
                       }
--- a/src/libs/gateway/hostregistration.h
+++ b/src/libs/gateway/hostregistration.h
@@ -25,6 +25,8 @@
     /// heartbeats.
     void start(const std::optional<host_record>& existing);
     [[nodiscard]] bool done() const { return done_; }
+    /// Whether start() would keep the entry `existing` without a write.
+    [[nodiscard]] bool is_kept(const std::optional<host_record>& existing) const;
 
 private:
     void write();
--- a/src/libs/gateway/storesnapshot.cpp
+++ b/src/libs/gateway/storesnapshot.cpp
@@ -19,20 +19,40 @@
 constexpr std::string_view upstreams_key = "upstreams";
 constexpr std::string_view domains_key = "domains";
 constexpr std::string_view hosts_key = "hosts";
+constexpr std::string_view epoch_key = "epoch";
+
+json encode_item(const platform::stored_item& it)
+{
+    json out{{"name", it.name}, {"revision", it.revision}, {"content", it.content}};
+    if (it.deleted)
+        out["deleted"] = true;
+    return out;
+}
+
+platform::stored_item decode_item(const json& node)
+{
+    return {node.at("name").get<std::string>(), node.at("revision").get<std::uint64_t>(),
+            node.value("deleted", false), node.at("content").get<std::string>()};
+}
 
 void encode(json& into, std::string_view key, const std::optional<collection_update>& update)
 {
     if (!update)
         return;
     json items = json::array();
-    for (const platform::stored_item& it : update->page.items) {
-        json item{{"name", it.name}, {"revision", it.revision}, {"content", it.content}};
-        if (it.deleted)
-            item["deleted"] = true;
-        items.push_back(std::move(item));
+    for (const platform::stored_item& it : update->page.items)
+        items.push_back(encode_item(it));
+    json out{{"from", update->from},
+             {"epoch", update->page.epoch},
+             {"revision", update->page.revision},
+             {"items", std::move(items)}};
+    for (const retained_item& it : update->retained) {
+        json retained{{"name", it.name}};
+        if (it.stored)
+            retained["stored"] = encode_item(*it.stored);
+        out["retained"].push_back(std::move(retained));
     }
-    into[std::string{key}] = {
-        {"from", update->from}, {"revision", update->page.revision}, {"items", std::move(items)}};
+    into[std::string{key}] = std::move(out);
 }
 
 std::optional<collection_update> decode(const json& document, std::string_view key)
@@ -42,11 +62,17 @@
         return std::nullopt;
     collection_update out;
     out.from = node->value("from", std::uint64_t{0});
+    out.page.epoch = node->value("epoch", std::uint64_t{0});
     out.page.revision = node->at("revision").get<std::uint64_t>();
-    for (const json& it : node->at("items")) {
-        out.page.items.push_back({it.at("name").get<std::string>(),
-                                  it.at("revision").get<std::uint64_t>(),
-                                  it.value("deleted", false), it.at("content").get<std::string>()});
+    for (const json& it : node->at("items"))
+        out.page.items.push_back(decode_item(it));
+    if (const auto retained = node->find("retained"); retained != node->end()) {
+        for (const json& it : *retained) {
+            const auto stored = it.find("stored");
+            out.retained.push_back(
+                {it.at("name").get<std::string>(),
+                 stored == it.end() ? std::nullopt : std::optional{decode_item(*stored)}});
+        }
     }
     return out;
 }
@@ -71,9 +97,10 @@
 
 std::string encode_snapshot_request(const endpoint& host, const applied_revisions& known)
 {
-    return fmt::format("GET {}?{}={}&{}={}&{}={}&{}={} HTTP/1.1\r\nHost: {}\r\n\r\n", snapshot_path,
-                       configuration_key, known.configuration, upstreams_key, known.upstreams,
-                       domains_key, known.domains, hosts_key, known.hosts, to_string(host));
+    return fmt::format("GET {}?{}={}&{}={}&{}={}&{}={}&{}={} HTTP/1.1\r\nHost: {}\r\n\r\n",
+                       snapshot_path, configuration_key, known.configuration, upstreams_key,
+                       known.upstreams, domains_key, known.domains, hosts_key, known.hosts,
+                       epoch_key, known.epoch, to_string(host));
 }
 
 bool is_snapshot_target(std::string_view target)
@@ -84,7 +111,8 @@
 applied_revisions decode_snapshot_target(std::string_view target)
 {
     return {query_number(target, configuration_key), query_number(target, upstreams_key),
-            query_number(target, domains_key), query_number(target, hosts_key)};
+            query_number(target, domains_key), query_number(target, hosts_key),
+            query_number(target, epoch_key)};
 }
 
 std::string encode_snapshot_answer(const store_snapshot& snapshot, platform::connection_use use)
--- a/src/libs/gateway/upstreamtableupdater.cpp
+++ b/src/libs/gateway/upstreamtableupdater.cpp
@@ -32,6 +32,20 @@
         apply(it);
 }
 
+void upstream_table_updater::on_settled(const std::vector<platform::stored_item>& items)
+{
+    for (const auto& it : items) {
+        if (!it.deleted) {
+            apply(it);
+            continue;
+        }
+        const upstream_id id{it.name};
+        log_.write(log_level::info, "upstream_removed", {{"upstream", it.name}});
+        table_.remove(id);
+        removal_times_.erase(id);
+    }
+}
+
 void upstream_table_updater::apply(const platform::stored_item& item)
 {
     const upstream_id id{item.name};
--- a/src/libs/gateway/upstreamtableupdater.h
+++ b/src/libs/gateway/upstreamtableupdater.h
@@ -21,6 +21,8 @@
     /// The complete collection; upstreams that are not in it have disappeared.
     void on_listed(const std::vector<platform::stored_item>& items);
     void on_changed(const std::vector<platform::stored_item>& items);
+    /// Changes of items that had time to come back; missing upstreams are removed at once.
+    void on_settled(const std::vector<platform::stored_item>& items);
 
 private:
     void apply(const platform::stored_item& item);
--- a/src/libs/peers/hostrecord.cpp
+++ b/src/libs/peers/hostrecord.cpp
@@ -41,6 +41,28 @@
 
 } // namespace
 
+bool applied_revisions::is_ahead_of(const applied_revisions& other) const
+{
+    if (epoch != other.epoch)
+        return epoch > other.epoch;
+    return configuration > other.configuration || upstreams > other.upstreams ||
+           domains > other.domains || hosts > other.hosts;
+}
+
+void applied_revisions::merge(const applied_revisions& other)
+{
+    if (other.epoch < epoch)
+        return;
+    if (other.epoch > epoch) {
+        *this = other;
+        return;
+    }
+    configuration = std::max(configuration, other.configuration);
+    upstreams = std::max(upstreams, other.upstreams);
+    domains = std::max(domains, other.domains);
+    hosts = std::max(hosts, other.hosts);
+}
+
 std::string encode_host_record(const host_record& record)
 {
     return nlohmann::json{
@@ -91,7 +113,9 @@
     out.set_upstreams(heartbeat.applied.upstreams);
     out.set_domains(heartbeat.applied.domains);
     out.set_hosts(heartbeat.applied.hosts);
+    out.set_store_epoch(heartbeat.applied.epoch);
     out.set_reads_store(heartbeat.reads_store);
+    out.set_retains(heartbeat.retains);
     out.set_query(message.query);
     out.set_answered_query(message.answered_query);
     for (const digest_entry& it : message.digest) {
@@ -118,10 +142,14 @@
         in.limit_age_size() != in.limit_upstream_size())
         return std::nullopt;
     peer_message out;
-    out.heartbeat = {host_id{in.host()}, in.incarnation(),
-                     in.ready(),         in.leaving(),
-                     in.strained(),      {in.config(), in.upstreams(), in.domains(), in.hosts()},
-                     in.reads_store()};
+    out.heartbeat = {host_id{in.host()},
+                     in.incarnation(),
+                     in.ready(),
+                     in.leaving(),
+                     in.strained(),
+                     {in.config(), in.upstreams(), in.domains(), in.hosts(), in.store_epoch()},
+                     in.reads_store(),
+                     in.retains()};
     out.query = in.query();
     out.answered_query = in.answered_query();
     for (int it = 0; it < in.digest_host_size(); ++it) {
--- a/src/libs/peers/hostrecord.h
+++ b/src/libs/peers/hostrecord.h
@@ -40,13 +40,22 @@
 [[nodiscard]] std::optional<host_record> decode_host_record(const std::string& name,
                                                             std::string_view content);
 
-/// Revision of the newest change of each collection of the store that a host has applied.
+/// Revision of the newest change of each collection of the store that a host has applied; 0 for
+/// collections that it has not read in this epoch.
 struct applied_revisions
 {
     std::uint64_t configuration = 0;
     std::uint64_t upstreams = 0;
     std::uint64_t domains = 0;
     std::uint64_t hosts = 0;
+    // Epoch of the store to which the revisions belong; it rises when the store is restored from an
+    // older copy.
+    std::uint64_t epoch = 0;
+
+    /// True if some revision is newer than the one in `other`.
+    [[nodiscard]] bool is_ahead_of(const applied_revisions& other) const;
+    /// Takes over the revisions that are newer.
+    void merge(const applied_revisions& other);
 
     auto operator<=>(const applied_revisions&) const = default;
 };
@@ -63,6 +72,8 @@
     applied_revisions applied;
     // Watches the store and is in contact with it.
     bool reads_store = false;
+    // Knows changes that the store has lost.
+    bool retains = false;
 
     auto operator<=>(const host_heartbeat&) const = default;
 };
--- a/src/libs/peers/peertable.cpp
+++ b/src/libs/peers/peertable.cpp
@@ -122,8 +122,10 @@
                                  .strained = it.strained,
                                  .applied = {},
                                  .reads_store = it.reads_store};
-        if (of.last_heartbeat && of.last_heartbeat->incarnation == heartbeat.incarnation)
+        if (of.last_heartbeat && of.last_heartbeat->incarnation == heartbeat.incarnation) {
             heartbeat.applied = of.last_heartbeat->applied;
+            heartbeat.retains = of.last_heartbeat->retains;
+        }
         update_state(of, heartbeat, heard_at);
     }
 }
@@ -393,9 +395,7 @@
     for (const auto& [id, it] : peers_) {
         if (!is_alive(it, now))
             continue;
-        const applied_revisions& theirs = it.last_heartbeat->applied;
-        if (theirs.configuration > own.configuration || theirs.upstreams > own.upstreams ||
-            theirs.domains > own.domains || theirs.hosts > own.hosts)
+        if (it.last_heartbeat->applied.is_ahead_of(own))
             out.push_back(it.record);
     }
     std::stable_partition(out.begin(), out.end(),
@@ -403,16 +403,23 @@
     return out;
 }
 
+std::vector<host_record> peer_table::retaining_hosts(std::uint64_t epoch, time_point now) const
+{
+    std::vector<host_record> out;
+    for (const auto& [id, it] : peers_) {
+        if (is_alive(it, now) && it.last_heartbeat->retains &&
+            it.last_heartbeat->applied.epoch == epoch)
+            out.push_back(it.record);
+    }
+    return out;
+}
+
 applied_revisions peer_table::newest_applied() const
 {
     applied_revisions out;
     for (const auto& [id, it] : peers_) {
-        if (!it.last_heartbeat)
-            continue;
-        out.configuration = std::max(out.configuration, it.last_heartbeat->applied.configuration);
-        out.upstreams = std::max(out.upstreams, it.last_heartbeat->applied.upstreams);
-        out.domains = std::max(out.domains, it.last_heartbeat->applied.domains);
-        out.hosts = std::max(out.hosts, it.last_heartbeat->applied.hosts);
+        if (it.last_heartbeat)
+            out.merge(it.last_heartbeat->applied);
     }
     return out;
 }
--- a/src/libs/peers/peertable.h
+++ b/src/libs/peers/peertable.h
@@ -82,7 +82,10 @@
     /// this host's failure domain first.
     [[nodiscard]] std::vector<host_record> hosts_ahead_of(const applied_revisions& own,
                                                           time_point now) const;
-    /// Newest revision of each collection that any other host has applied.
+    /// Live hosts that know changes which the store has lost, and have read it in this epoch.
+    [[nodiscard]] std::vector<host_record> retaining_hosts(std::uint64_t epoch,
+                                                           time_point now) const;
+    /// Newest revision of each collection that any other host has applied in the newest epoch.
     [[nodiscard]] applied_revisions newest_applied() const;
 
 private:
