control, node, operatorclient: order objects by their changes, write lost ones again

What operators saw: a preset that the store had accepted was never in force, because hosts had a higher version of the store that was lost. Cause: configuration and roster were ordered by the store's version, in hosts, between hosts, and in the operator's commands. Change: objects carry the ids of their last changes, which show whether a stored state precedes, follows or leaves the known one. Hosts write a lost state again, on condition that the stored one is unchanged, and lift a change of a restored store above what hosts know: the newest change id carries an offset that is added to the store's version. Versions of a store that was never restored are as before. The roster keeps its change ids, reads alternate with watches, and commands that change the configuration wait until witnesses have written a newer one again. The history checker matched writes by their version alone; a version may occur twice. Ruled out: a number in the object itself (the earlier release rejects unknown keys).

--- a/src/libs/history/hostchecks.cpp
+++ b/src/libs/history/hostchecks.cpp
@@ -60,7 +60,8 @@
 /// learn the outcome; by then it may have a later version than the change's own.
 void check_accepted_changes(const record_list& records, std::vector<violation>& out)
 {
-    std::map<std::uint64_t, const record*> unmatched_writes;
+    // A store that was restored from an older copy gives out versions again.
+    std::multimap<std::uint64_t, const record*> unmatched_writes;
     std::multimap<std::uint64_t, const record*> accepted_changes;
     bool all_results_known = true;
     timestamp first = std::numeric_limits<timestamp>::max();
--- a/src/libs/node/controlplane.cpp
+++ b/src/libs/node/controlplane.cpp
@@ -92,6 +92,11 @@
     void send_to(const endpoint& to, const control_message& message);
     /// What store_sync should do for the object; clears the request for a read.
     sync_needs take_needs(object_kind kind);
+    // To be called with `mutex` held; 0 if the object is not known.
+    [[nodiscard]] object_version known_version(object_kind kind) const
+    {
+        return kind == object_kind::config ? config_object.version : roster_object.version;
+    }
 
     node_settings settings;
     incarnation_number incarnation;
@@ -325,10 +330,9 @@
     const auto& witnesses = working_view.hosts.witnesses;
     sync_needs out;
     out.watch = std::find(witnesses.begin(), witnesses.end(), settings.self.id) != witnesses.end();
-    out.version =
-        kind == object_kind::config ? working_view.config_version : working_view.roster_version;
-    out.read =
-        std::exchange(reads_wanted[static_cast<std::size_t>(kind)], false) || out.version == 0;
+    out.known = kind == object_kind::config ? config_object : roster_object;
+    out.read = std::exchange(reads_wanted[static_cast<std::size_t>(kind)], false) ||
+               out.known.version == 0;
     return out;
 }
 
@@ -355,6 +359,9 @@
     sync.on_object = [this](object_kind kind, const stored_object& object) {
         accept_object(kind, object.version, object.content);
     };
+    sync.known = [this](object_kind kind) {
+        return known_object(kind);
+    };
     sync.view = [this] {
         return view();
     };
@@ -442,6 +449,9 @@
     }
     const duration cpu_before = thread_processor_time();
     const std::lock_guard lock{state_->mutex};
+    // An operator's change in a restored store may have a version that looks old.
+    if (version < state_->known_version(kind))
+        state_->reads_wanted[static_cast<std::size_t>(kind)] = true;
     state_->pending_object = std::move(parsed);
     state_->handle_locked(*state_->pending_object, boot_clock::now());
     state_->cpu += thread_processor_time() - cpu_before;
--- a/src/libs/node/storesync.cpp
+++ b/src/libs/node/storesync.cpp
@@ -1,6 +1,7 @@
 // Threads that read and watch the store objects and write changes of the roster.
 #include "node/storesync.h"
 
+#include "control/changehistory.h"
 #include "control/objectcodec.h"
 #include "control/rostermaintainer.h"
 
@@ -32,6 +33,49 @@
 // Pause between reads while no version of the object is known.
 constexpr std::chrono::milliseconds read_interval{500};
 
+template <class... Visitors>
+struct overloaded : Visitors...
+{
+    using Visitors::operator()...;
+};
+
+const char* key_of(object_kind kind)
+{
+    return kind == object_kind::config ? config_key : roster_key;
+}
+
+/// Empty if the content is no such object.
+std::vector<std::string> change_ids_of(object_kind kind, const std::string& content)
+{
+    return leaf::try_handle_all(
+        [&]() -> result<std::vector<std::string>> {
+            if (kind == object_kind::config) {
+                BOOST_LEAF_AUTO(object, decode_config(content));
+                return object.change_ids;
+            }
+            BOOST_LEAF_AUTO(object, decode_roster(content));
+            return object.change_ids;
+        },
+        [] { return std::vector<std::string>{}; });
+}
+
+/// The object with the id of one more change; empty if the content is no such object.
+std::string with_change_id(object_kind kind, const std::string& content, const std::string& id)
+{
+    return leaf::try_handle_all(
+        [&]() -> result<std::string> {
+            if (kind == object_kind::config) {
+                BOOST_LEAF_AUTO(object, decode_config(content));
+                object.change_ids = add_change_id(std::move(object.change_ids), id);
+                return encode(object);
+            }
+            BOOST_LEAF_AUTO(object, decode_roster(content));
+            object.change_ids = add_change_id(std::move(object.change_ids), id);
+            return encode(object);
+        },
+        [] { return std::string{}; });
+}
+
 /// Exponential backoff with jitter: each pause is between half and all of the bound.
 class backoff
 {
@@ -73,7 +117,12 @@
     }
 
     void sync_object(object_kind kind, const std::stop_token& stop);
-    bool read_object(object_kind kind, object_version after, duration wait);
+    // Reads the object, or waits for a version that is newer than the known one.
+    bool read_object(object_kind kind, duration wait);
+    void reconcile(object_kind kind, const std::optional<stored_object>& stored);
+    // Writes `content` as a further change, so that it follows all states that hosts know.
+    void write_again(object_kind kind, const std::string& content, object_version expected,
+                     object_version offset, std::string_view source);
     void run_roster_maintenance(const std::stop_token& stop);
     void write_roster(const roster_update& update);
 
@@ -90,63 +139,124 @@
     std::jthread maintenance_thread;
 };
 
-bool store_sync::state::read_object(object_kind kind, object_version after, duration wait)
+bool store_sync::state::read_object(object_kind kind, duration wait)
 {
-    const std::string key = kind == object_kind::config ? config_key : roster_key;
+    const std::string key = key_of(kind);
     return leaf::try_handle_all(
         [&]() -> result<bool> {
             std::optional<stored_object> object;
             if (wait > duration::zero()) {
+                const stored_object known = handlers.known(kind);
+                const object_version after =
+                    known.version - offset_of(change_ids_of(kind, known.content));
                 BOOST_LEAF_ASSIGN(object, store.watch(key, after, wait));
+                // Without a change, the watch tells nothing of an object that is older or missing.
+                if (!object)
+                    return true;
             } else {
                 BOOST_LEAF_ASSIGN(object, store.get(key));
             }
-            if (object && object->version > after)
-                handlers.on_object(kind, *object);
+            reconcile(kind, object);
             return true;
         },
         [] { return false; });
 }
 
+void store_sync::state::reconcile(object_kind kind, const std::optional<stored_object>& stored)
+{
+    const stored_object known = handlers.known(kind);
+    std::optional<object_history> history;
+    if (stored)
+        history = object_history{stored->version, change_ids_of(kind, stored->content)};
+    const history_action action =
+        compare_histories({known.version, change_ids_of(kind, known.content)}, history);
+    std::visit(overloaded{[](const nothing_to_do&) {},
+                          [&](const adopt_stored& it) {
+                              handlers.on_object(kind, {it.version, stored->content});
+                          },
+                          [&](const write_known_again& it) {
+                              write_again(kind, known.content, it.expected, it.offset, "known");
+                          },
+                          [&](const renumber_stored& it) {
+                              write_again(kind, stored->content, it.expected, it.offset, "stored");
+                          }},
+               action);
+}
+
+void store_sync::state::write_again(object_kind kind, const std::string& content,
+                                    object_version expected, object_version offset,
+                                    std::string_view source)
+{
+    const std::string id = make_change_id(
+        fmt::format("{}-{:x}", settings.self.id.value(), std::random_device{}()), offset);
+    const std::string renewed = with_change_id(kind, content, id);
+    if (renewed.empty())
+        return;
+    const put_result result = store.put(key_of(kind), renewed, expected);
+    const auto* accepted = std::get_if<put_accepted>(&result);
+    log.write(log_level::warning, "object_written_again",
+              {{"object", key_of(kind)},
+               {"state", source},
+               {"expected", expected},
+               {"offset", offset},
+               {"version", accepted != nullptr ? accepted->version : 0},
+               {"result", accepted != nullptr ? "accepted" : "not accepted"}});
+    if (accepted != nullptr)
+        handlers.on_object(kind, {accepted->version + offset, renewed});
+}
+
 void store_sync::state::sync_object(object_kind kind, const std::stop_token& stop)
 {
     backoff retry_backoff{incarnation + static_cast<std::uint64_t>(kind)};
+    // Reads alternate with watches: in a store that was restored from an older copy, a watch after
+    // the known version would wait without a result. A read also follows each failure.
+    bool read_next = true;
     while (!stop.stop_requested()) {
         const sync_needs needs = handlers.needs(kind);
         if (!needs.watch && !needs.read) {
             std::this_thread::sleep_for(idle_pause);
             continue;
         }
-        const duration wait =
-            needs.watch && needs.version > 0 ? duration{watch_wait} : duration::zero();
-        if (!read_object(kind, needs.version, wait)) {
+        const bool reads =
+            needs.read || std::exchange(read_next, false) || needs.known.version == 0;
+        if (!read_object(kind, reads ? duration::zero() : duration{watch_wait})) {
+            read_next = true;
             interruptible_sleep(stop, retry_backoff.next());
             continue;
         }
         retry_backoff.reset();
-        if (wait == duration::zero())
+        if (!reads)
+            read_next = true;
+        else if (!needs.watch || needs.known.version == 0)
             interruptible_sleep(stop, read_interval);
     }
 }
 
 void store_sync::state::write_roster(const roster_update& update)
 {
-    const std::string change_id = fmt::format("{}-{}", settings.self.id.value(), random());
-    std::vector<std::string> change_ids{change_id};
-    const std::string content = encode(roster_object{update.hosts, std::move(change_ids)});
-    const put_result result = store.put(roster_key, content, update.expected);
+    const stored_object known = handlers.known(object_kind::roster);
+    // A newer roster came meanwhile, and the update has to be decided again.
+    if (known.version != update.expected)
+        return;
+    const auto known_ids = change_ids_of(object_kind::roster, known.content);
+    const object_version offset = offset_of(known_ids);
+    const object_version expected = update.expected - offset;
+    const std::string id =
+        make_change_id(fmt::format("{}-{}", settings.self.id.value(), random()), offset);
+    const std::string content = encode(roster_object{update.hosts, add_change_id(known_ids, id)});
+    const put_result result = store.put(roster_key, content, expected);
     const auto* accepted = std::get_if<put_accepted>(&result);
     log.write(log_level::info, "roster_update",
               {{"reason", update.reason},
                {"expected", update.expected},
                {"result", accepted != nullptr ? "accepted" : "not accepted"}});
     if (accepted != nullptr) {
-        handlers.on_object(object_kind::roster, stored_object{accepted->version, content});
+        handlers.on_object(object_kind::roster, stored_object{accepted->version + offset, content});
         return;
     }
     // A write without a reply may have taken effect; reading the object tells.
     maintainer.note_conflict(boot_clock::now());
-    read_object(object_kind::roster, update.expected, duration::zero());
+    read_object(object_kind::roster, duration::zero());
 }
 
 void store_sync::state::run_roster_maintenance(const std::stop_token& stop)
--- a/src/libs/node/storesync.h
+++ b/src/libs/node/storesync.h
@@ -18,10 +18,11 @@
 {
     // Witnesses watch both objects; other hosts receive them from their neighbours.
     bool watch = false;
-    // The object is to be read because a newer version exists or none is known.
+    // The object is to be read because a newer version exists, none is known, or the store may have
+    // been restored from an older copy.
     bool read = false;
-    // Newest version that this host knows; 0 if none.
-    object_version version = 0;
+    // Newest state that this host knows, with its host_version(); version 0 if none.
+    stored_object known;
 
     auto operator<=>(const sync_needs&) const = default;
 };
@@ -30,8 +31,10 @@
 struct sync_handlers
 {
     std::function<sync_needs(object_kind)> needs;
-    /// Called with a version that is newer than the one known, or was just written.
+    /// Called with a host_version() that is newer than the one known, or was just written.
     std::function<void(object_kind, const stored_object&)> on_object;
+    /// The newest state that this host knows.
+    std::function<stored_object(object_kind)> known;
     std::function<fleet_view_ptr()> view;
     std::function<bool()> is_current;
     std::function<host_status(const host_id&)> status_of;
--- a/src/libs/operatorclient/hoststatus.cpp
+++ b/src/libs/operatorclient/hoststatus.cpp
@@ -66,6 +66,16 @@
     return reports > 0;
 }
 
+object_version newest_config_version(const std::vector<polled_host>& hosts)
+{
+    object_version out = 0;
+    for (const polled_host& it : hosts) {
+        if (it.report)
+            out = std::max(out, it.report->config_version);
+    }
+    return out;
+}
+
 std::string status_table(const std::vector<polled_host>& hosts)
 {
     constexpr const char* row = "{:<20} {:<21} {:<12} {:<9} {:<8} {:>8} {:>8} {:<14} {:>5}\n";
--- a/src/libs/operatorclient/hoststatus.h
+++ b/src/libs/operatorclient/hoststatus.h
@@ -49,6 +49,9 @@
 /// or a later one.
 [[nodiscard]] bool all_have_version(const std::vector<polled_host>& hosts, object_version version);
 
+/// Newest version of the configuration that a host has reported; 0 if none answered.
+[[nodiscard]] object_version newest_config_version(const std::vector<polled_host>& hosts);
+
 /// Text table for the terminal with one line per host.
 [[nodiscard]] std::string status_table(const std::vector<polled_host>& hosts);
 
--- a/src/libs/operatorclient/operatorsession.cpp
+++ b/src/libs/operatorclient/operatorsession.cpp
@@ -1,6 +1,7 @@
 // Reads and changes the store objects on behalf of an operator.
 #include "operatorclient/operatorsession.h"
 
+#include "control/changehistory.h"
 #include "control/configdiff.h"
 #include "operatorclient/changesequence.h"
 #include "settings/capacitywarnings.h"
@@ -17,6 +18,10 @@
 
 namespace {
 
+// Reads of a store that has lost changes, at intervals of change_sequence::retry_delay, while the
+// hosts write them again. They notice a restoration within a second if it broke their connections.
+constexpr int max_waits_for_hosts = 15;
+
 result<config_object> decode(const std::string& text, const config_object*)
 {
     return decode_config(text);
@@ -47,7 +52,8 @@
             if (!stored)
                 return outcome{versioned_object<Object>{}};
             BOOST_LEAF_AUTO(object, decode(stored->content, static_cast<const Object*>(nullptr)));
-            return outcome{versioned_object<Object>{stored->version, std::move(object)}};
+            const auto version = host_version(stored->version, object.change_ids);
+            return outcome{versioned_object<Object>{version, std::move(object)}};
         },
         [](const error& failure) -> outcome { return failure; },
         []() -> outcome {
@@ -55,7 +61,7 @@
         });
 }
 
-std::string make_change_id()
+std::string make_unique_text()
 {
     std::random_device random;
     return fmt::format("{:08x}{:08x}{:08x}{:08x}", random(), random(), random(), random());
@@ -108,14 +114,12 @@
                                        versioned_object<Object> current, Object wanted,
                                        const std::vector<roster_host>& hosts)
 {
-    const auto id = make_change_id();
-    wanted.change_ids = current.object.change_ids;
-    wanted.change_ids.insert(wanted.change_ids.begin(), id);
-    if (wanted.change_ids.size() > max_change_ids)
-        wanted.change_ids.resize(max_change_ids);
+    const object_version offset = offset_of(current.object.change_ids);
+    const auto id = make_change_id(make_unique_text(), offset);
+    wanted.change_ids = add_change_id(current.object.change_ids, id);
     const std::string body = encode(wanted);
 
-    change_sequence sequence{id, {current.version, current.object.change_ids}};
+    change_sequence sequence{id, {current.version - offset, current.object.change_ids}};
     auto latest = current;
     auto action = sequence.start();
     for (;;) {
@@ -127,7 +131,8 @@
             auto outcome = read<Object>(store_, key);
             if (auto* found = std::get_if<0>(&outcome)) {
                 latest = std::move(*found);
-                action = sequence.handle(object_state{latest.version, latest.object.change_ids});
+                const auto& ids = latest.object.change_ids;
+                action = sequence.handle(object_state{latest.version - offset_of(ids), ids});
             } else {
                 action = sequence.handle(read_failed{std::get<error>(outcome).message});
             }
@@ -136,24 +141,26 @@
         }
     }
     if (const auto* accepted = std::get_if<change_accepted>(&action)) {
-        print_(fmt::format("accepted: version {}{}", accepted->version,
-                           accepted->is_superseded ? ", which includes a later change" : ""));
         // If a later change superseded this one, the version belongs to its content.
         const std::string newest = accepted->is_superseded ? encode(latest.object) : body;
-        for (const auto& host : push_object(hosts, kind, accepted->version, newest, host_timeout_))
+        const auto version = accepted->is_superseded ? latest.version : accepted->version + offset;
+        print_(fmt::format("accepted: version {}{}", version,
+                           accepted->is_superseded ? ", which includes a later change" : ""));
+        for (const auto& host : push_object(hosts, kind, version, newest, host_timeout_))
             print_(fmt::format("host `{}` did not accept the push; it receives the version from "
                                "its neighbours",
                                host.value()));
-        return {change_status::accepted, accepted->version, ""};
+        return {change_status::accepted, version, ""};
     }
     if (const auto* conflict = std::get_if<change_conflict>(&action)) {
+        const auto other = conflict->current + offset_of(latest.object.change_ids);
         const auto keys = changed_keys(content(current.object), content(latest.object));
         const auto failure = make_error(
             error_kind::conflict,
             fmt::format("version {} was written by another operator since version {} was read; "
                         "it changed: {}",
-                        conflict->current, current.version, keys));
-        return {change_status::conflict, conflict->current, describe(failure)};
+                        other, current.version, keys));
+        return {change_status::conflict, other, describe(failure)};
     }
     if (const auto* refused = std::get_if<change_refused>(&action))
         return failure_report(
@@ -192,10 +199,41 @@
     return change<config_object>(config_key, "config", std::move(current), {wanted, {}}, hosts);
 }
 
+std::variant<versioned_object<config_object>, error> operator_session::read_config_to_change()
+{
+    auto outcome = read_config();
+    auto stored_roster = read_roster();
+    const auto* hosts = std::get_if<0>(&stored_roster);
+    if (hosts == nullptr)
+        return outcome;
+    const roster& stored = hosts->object.hosts;
+    std::vector<roster_host> witnesses;
+    for (const host_id& it : stored.witnesses) {
+        if (const roster_host* host = stored.find(it))
+            witnesses.push_back(*host);
+    }
+    const object_version newest = newest_config_version(poll_hosts(witnesses, host_timeout_));
+    for (int it = 0; it < max_waits_for_hosts; ++it) {
+        const auto* found = std::get_if<0>(&outcome);
+        if (found == nullptr || found->version >= newest)
+            return outcome;
+        sleep_(change_sequence::retry_delay);
+        outcome = read_config();
+    }
+    const auto* found = std::get_if<0>(&outcome);
+    if (found == nullptr || found->version >= newest)
+        return outcome;
+    return make_error(error_kind::store_unavailable,
+                      fmt::format("the store has version {}, hosts know version {}: it was "
+                                  "restored from an older copy and the hosts have not written "
+                                  "the newer one yet",
+                                  found->version, newest));
+}
+
 change_report operator_session::apply(const configuration& wanted,
                                       std::optional<object_version> base)
 {
-    auto outcome = read_config();
+    auto outcome = read_config_to_change();
     if (const auto* failure = std::get_if<error>(&outcome))
         return failure_report(*failure);
     auto& current = std::get<0>(outcome);
@@ -212,7 +250,7 @@
 
 change_report operator_session::switch_preset(const preset_name& preset)
 {
-    auto outcome = read_config();
+    auto outcome = read_config_to_change();
     if (const auto* failure = std::get_if<error>(&outcome))
         return failure_report(*failure);
     auto& current = std::get<0>(outcome);
--- a/src/libs/operatorclient/operatorsession.h
+++ b/src/libs/operatorclient/operatorsession.h
@@ -43,7 +43,7 @@
 template <class Object>
 struct versioned_object
 {
-    // 0: the object does not exist.
+    // The host_version(); 0: the object does not exist.
     object_version version = 0;
     Object object;
 };
@@ -76,6 +76,9 @@
     template <class Object>
     change_report change(const char* key, const char* kind, versioned_object<Object> current,
                          Object wanted, const std::vector<roster_host>& hosts);
+    // Reads the configuration. If hosts know a newer one, waits for them to write it again: a
+    // change that is derived from an older one would undo what they have accepted.
+    [[nodiscard]] std::variant<versioned_object<config_object>, error> read_config_to_change();
     // Validates `wanted` and prints its differences to `current`, then writes it.
     change_report apply_to(versioned_object<config_object> current, const configuration& wanted);
 
--- a/tests/auto/history/tst_historychecker.cpp
+++ b/tests/auto/history/tst_historychecker.cpp
@@ -185,6 +185,9 @@
                      {store_write_line("5"), store_write_line("6"), accepted("5"), accepted("6")});
     expect_violation("I10", {store_write_line("6"), accepted("5")},
                      {store_write_line("5"), store_write_line("6"), accepted("6"), accepted("6")});
+    // A restored store gives out a version again.
+    expect_violation("I10", {store_write_line("5"), accepted("5"), accepted("5")},
+                     {store_write_line("5"), store_write_line("5"), accepted("5"), accepted("5")});
     const auto earlier = R"({"time":9,"key":"ebonywick/config","version":4,"result":"accepted"})";
     expect_violation("I10", {earlier, accepted("5")},
                      {earlier, store_write_line("5"), accepted("5")});
