orders, store, node: records of recent orders outlast a restoration of the store

What callers would have seen: an order that was repeated with its key ran twice. Cause: the record in the store was written once and believed to last. Change: the store's client notices the epoch that replies state.

--- a/src/libs/node/orderservice.h
+++ b/src/libs/node/orderservice.h
@@ -5,6 +5,7 @@
 #include "logging/logger.h"
 #include "node/queryservice.h"
 #include "orders/ordercoordinator.h"
+#include "orders/recentorders.h"
 #include "store/objectstoreclient.h"
 
 #include <atomic>
@@ -48,6 +49,18 @@
     order_outcome advance(running_order& order, std::vector<order_action> actions);
     std::vector<order_action> execute(running_order& order, const order_action& action);
     void run_recorder(const std::stop_token& stop);
+    void run_repeater(const std::stop_token& stop);
+    // Compares all records that are due with the store, until it does not answer.
+    void repeat_records(const std::stop_token& stop);
+    // If the store has begun a new epoch since the last call, pauses claims and starts to write
+    // records again.
+    void note_epochs();
+    // Writes a remembered record again if the store has lost it. False if the store does not
+    // answer.
+    bool repeat_record(const std::string& store_key);
+    [[nodiscard]] record_read read_record_of(const std::string& store_key);
+    // How long no order may be claimed, because other hosts write records again.
+    [[nodiscard]] duration claims_paused(time_point now) const;
 
     object_store_client& store_;
     query_service& queries_;
@@ -59,7 +72,15 @@
     // it has taken from the queue, else 0.
     std::deque<std::unique_ptr<running_order>> unrecorded_;
     std::size_t recording_ = 0;
+    // Guarded by mutex_.
+    recent_orders recent_;
+    // Records are to be compared with the store without delay.
+    bool checks_due_ = false;
+    std::condition_variable_any check_due_;
+    std::uint64_t epochs_seen_ = 0;
+    time_point claims_paused_until_{};
     std::jthread recorder_;
+    std::jthread repeater_;
 };
 
 } // namespace ebonywick
--- a/src/libs/orders/ordercoordinator.cpp
+++ b/src/libs/orders/ordercoordinator.cpp
@@ -75,6 +75,8 @@
 
     order_request request;
     phase current_phase = phase::claiming;
+    // The store was restored while the record was claimed.
+    bool restored = false;
     // finish_order was returned.
     bool finish_returned = false;
     // Writes so far that tried to claim the record.
@@ -140,6 +142,7 @@
 
 actions order_coordinator::state::on(const record_written& ev, time_point now)
 {
+    restored = restored || ev.restored;
     if (current_phase == phase::claiming)
         return on_claim_written(ev, now);
     if (current_phase == phase::recording)
@@ -170,6 +173,7 @@
 {
     if (current_phase != phase::reading)
         return {};
+    restored = restored || ev.restored;
     if (!ev.answered)
         return end_without_record();
     if (!finish_returned && ev.found)
@@ -221,10 +225,13 @@
 actions order_coordinator::state::send(object_version version, time_point now)
 {
     record_version = version;
-    if (now >= request.deadline) {
+    if (restored || now >= request.deadline) {
         actions out;
-        finish(make_not_run(error_kind::deadline_too_short,
-                            "the deadline passed before the order was sent"),
+        finish(restored ? not_run{make_error(error_kind::store_unavailable,
+                                             "the store was restored from an older copy"),
+                                  restored_records_wait}
+                        : make_not_run(error_kind::deadline_too_short,
+                                       "the deadline passed before the order was sent"),
                out);
         for (order_action& it : release(version))
             out.push_back(std::move(it));
--- a/src/libs/orders/ordercoordinator.h
+++ b/src/libs/orders/ordercoordinator.h
@@ -64,6 +64,8 @@
     write_result status = write_result::accepted;
     // Of the written record; only if accepted.
     object_version version = 0;
+    // The store was found to be restored from an older copy during the call.
+    bool restored = false;
 
     auto operator<=>(const record_written&) const = default;
 };
@@ -75,6 +77,8 @@
     bool answered = false;
     // Empty: no such record.
     std::optional<stored_record> found;
+    // As in record_written.
+    bool restored = false;
 
     auto operator<=>(const record_read&) const = default;
 };
@@ -155,8 +159,15 @@
     auto operator<=>(const order_request&) const = default;
 };
 
+/// Time for which no order is sent after a restoration of the store: every host writes the records
+/// again that the store may have lost.
+inline constexpr duration restored_records_wait = std::chrono::milliseconds{3000};
+
 /// Coordinates one order request at an entry host. Not thread-safe.
 ///
+/// If the store is restored before the call is sent, the call is not sent: the record of an earlier
+/// attempt may be lost.
+///
 /// The caller carries out the returned actions. It answers each write_record and
 /// read_record with one event, and send_order with one order_replied or order_failed,
 /// also after finish_order.
--- a/src/libs/store/objectstoreclient.cpp
+++ b/src/libs/store/objectstoreclient.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <mutex>
 #include <string_view>
 #include <utility>
 
@@ -21,6 +22,8 @@
 constexpr std::size_t max_call_connections = 16;
 // Configuration and roster are watched; the rest is spare.
 constexpr std::size_t max_watch_connections = 8;
+// Changes whenever the store is restored from an older copy.
+constexpr const char* epoch_field = "Store-Epoch";
 // Short, since stop() cannot interrupt an attempt to connect, but above the 1 s after which Linux
 // retransmits a lost SYN.
 constexpr duration max_connect_timeout = std::chrono::milliseconds{1200};
@@ -144,6 +147,9 @@
     http_exchange run(connection_pool& pool, duration wait, std::atomic<std::uint64_t>& counter,
                       Call call);
 
+    std::mutex epoch_mutex;
+    // As stated by the latest reply; empty before the first one. Guarded by epoch_mutex.
+    std::string epoch;
     const duration timeout;
     connection_pool calls;
     connection_pool watches;
@@ -175,6 +181,17 @@
 
 object_store_client::~object_store_client() = default;
 
+void object_store_client::note_epoch(const std::string& epoch)
+{
+    if (epoch.empty())
+        return;
+    const std::lock_guard lock{state_->epoch_mutex};
+    if (state_->epoch == epoch)
+        return;
+    state_->epoch = epoch;
+    epochs_.fetch_add(1);
+}
+
 result<std::optional<stored_object>> object_store_client::get(const std::string& key)
 {
     const std::string path = object_path(key);
@@ -183,6 +200,7 @@
                     [&path](httplib::Client& it) { return it.Get(path); });
     if (!exchange.reply)
         return leaf::new_error(store_unavailable("read", exchange.failure));
+    note_epoch(exchange.reply->get_header_value(epoch_field));
     if (exchange.reply->status == 404)
         return std::optional<stored_object>{};
     const object_version version = parse_version(*exchange.reply);
@@ -206,7 +224,8 @@
             // until the connection is closed. Such a reply is therefore aborted after its header.
             return it.Get(
                 path,
-                [&unchanged](const httplib::Response& head) {
+                [this, &unchanged](const httplib::Response& head) {
+                    note_epoch(head.get_header_value(epoch_field));
                     unchanged = head.status == 304;
                     return !unchanged || head.has_header("Content-Length");
                 },
@@ -241,8 +260,10 @@
         state_->run(state_->calls, state_->timeout, calls_, [&](httplib::Client& it) {
             return it.Put(path, headers, content, "application/json");
         });
-    if (exchange.reply)
+    if (exchange.reply) {
+        note_epoch(exchange.reply->get_header_value(epoch_field));
         return to_put_result(*exchange.reply);
+    }
     if (exchange.sent)
         return put_unconfirmed{};
     return put_refused{exchange.failure};
--- a/src/libs/store/objectstoreclient.h
+++ b/src/libs/store/objectstoreclient.h
@@ -90,6 +90,10 @@
     /// Entries that cannot be parsed are left out.
     [[nodiscard]] result<std::vector<listed_host>> list_hosts();
 
+    /// Number of epochs of the store that replies have stated, the first one included; 0 if they
+    /// state none. A new epoch begins when the store is restored from an older copy: objects and
+    /// versions may have gone back.
+    [[nodiscard]] std::uint64_t epochs() const { return epochs_.load(); }
     /// Calls sent to the store since the start.
     [[nodiscard]] std::uint64_t call_count() const { return calls_.load(); }
     /// Aborts the calls in progress and makes later ones fail.
@@ -98,7 +102,11 @@
 private:
     struct state;
 
+    // Takes note of the epoch that a reply states, if any.
+    void note_epoch(const std::string& epoch);
+
     std::atomic<std::uint64_t> calls_{0};
+    std::atomic<std::uint64_t> epochs_{0};
     std::unique_ptr<state> state_;
 };
 
--- a/tests/auto/orders/tst_ordercoordinator.cpp
+++ b/tests/auto/orders/tst_ordercoordinator.cpp
@@ -307,3 +307,25 @@
     cr_assert_not_null(end);
     cr_assert(std::holds_alternative<order_answer>(end->outcome));
 }
+
+// The store was restored while the record was claimed, so the record of an attempt that ran may be
+// lost. Guards against an order that runs twice, and against a record that stays claimed.
+Test(order_coordinator, order_is_not_sent_in_a_restored_store)
+{
+    for (const bool read_first : {false, true}) {
+        fixture f;
+        if (read_first) {
+            f.deliver(lost);
+            record_read own_record = found(own, order_state::started);
+            own_record.restored = true;
+            f.deliver(own_record);
+        } else {
+            f.deliver(record_written{write_result::accepted, 5, true});
+        }
+        cr_assert(f.action<send_order>() == nullptr);
+        cr_assert(f.ended_with<not_run>() == error_kind::store_unavailable);
+        const auto& outcome = std::get<not_run>(f.action<finish_order>()->outcome);
+        cr_assert(outcome.retry_after == restored_records_wait);
+        cr_assert(f.wrote(order_state::not_run, 5));
+    }
+}
--- a/tests/auto/store/tst_objectstoreclient.cpp
+++ b/tests/auto/store/tst_objectstoreclient.cpp
@@ -255,3 +255,24 @@
     cr_assert_eq(hosts.size(), 2);
     cr_assert(hosts[1] == (listed_host{host_id{"b"}, endpoint{"10.0.0.2", 7}, true}));
 }
+
+// Guards against a restoration of the store that hosts do not notice, and against a further reply
+// of the same epoch that looks like one.
+Test(object_store_client, epochs_are_counted)
+{
+    store_fixture f;
+    cr_assert(f.client.epochs() == 0);
+    f.objects.keep_copy();
+    cr_assert(std::holds_alternative<put_accepted>(f.client.put("a", "1", 0)));
+    cr_assert(outcome_of([&] { return f.client.get("a"); }) == read_outcome::object);
+    cr_assert(f.client.epochs() == 1);
+    f.objects.restore();
+    // The version of the lost object is given out again.
+    cr_assert(f.client.put("a", "2", 0) == put_result{put_accepted{1}});
+    cr_assert(f.client.epochs() == 2);
+    f.objects.restore();
+    cr_assert(outcome_of([&] { return f.client.watch("a", 1, 10ms); }) == read_outcome::nothing);
+    cr_assert(f.client.epochs() == 3);
+    cr_assert(outcome_of([&] { return f.client.get("a"); }) == read_outcome::nothing);
+    cr_assert(f.client.epochs() == 3);
+}
--- a/tests/standins/store/httplistener.cpp
+++ b/tests/standins/store/httplistener.cpp
@@ -121,6 +121,8 @@
         text += fmt::format("Content-Length: {}\r\n", reply.body.size());
     if (!reply.etag.empty())
         text += fmt::format("ETag: {}\r\n", reply.etag);
+    if (!reply.epoch.empty())
+        text += fmt::format("Store-Epoch: {}\r\n", reply.epoch);
     text += "Content-Type: application/json\r\n\r\n" + reply.body;
     std::string_view remaining = text;
     while (!remaining.empty()) {
--- a/tests/standins/store/httplistener.h
+++ b/tests/standins/store/httplistener.h
@@ -33,6 +33,8 @@
     std::string body;
     // HTTP permits a 304 without Content-Length.
     bool omit_content_length = false;
+    // Store-Epoch; left out if empty.
+    std::string epoch = {};
 };
 
 /// Returns empty to close the connection without a reply.
--- a/tests/standins/store/main.cpp
+++ b/tests/standins/store/main.cpp
@@ -131,13 +131,18 @@
                 faults.lost_reply_prefix = value.get<std::string>();
             else if (name == "stale_reads")
                 faults.stale_read_share = value.get<double>();
-            else if (name != "seed" && name != "reset_stats")
+            else if (name != "seed" && name != "reset_stats" && name != "keep_copy" &&
+                     name != "restore")
                 throw std::runtime_error{"unknown command " + name};
         }
         if (command.contains("seed"))
             objects_.seed(command["seed"].get<std::uint64_t>());
         if (command.value("reset_stats", false))
             objects_.reset_stats();
+        if (command.value("keep_copy", false))
+            objects_.keep_copy();
+        if (command.value("restore", false))
+            objects_.restore();
         objects_.set_faults(faults);
         const bool refuse = faults.outage == outage_mode::refuse;
         if (refuse && before.outage != outage_mode::refuse)
--- a/tests/standins/store/objecttable.cpp
+++ b/tests/standins/store/objecttable.cpp
@@ -45,12 +45,37 @@
         std::fclose(record_file_);
 }
 
+void object_table::keep_copy()
+{
+    const std::lock_guard lock{mutex_};
+    copied_objects_ = objects_;
+    copied_version_ = last_version_;
+}
+
+void object_table::restore()
+{
+    const std::lock_guard lock{mutex_};
+    objects_ = copied_objects_;
+    last_version_ = copied_version_;
+    ++epoch_;
+}
+
 std::optional<http_reply> object_table::serve(const http_request& request)
 {
     const std::string key = request.path.substr(std::min(request.path.size(), objects_path.size()));
     if (!request.path.starts_with(objects_path) || key.empty())
         return http_reply{404, "", ""};
     std::unique_lock lock{mutex_};
+    std::optional<http_reply> reply = serve_object(key, request, lock);
+    if (reply)
+        reply->epoch = std::to_string(epoch_);
+    return reply;
+}
+
+std::optional<http_reply> object_table::serve_object(const std::string& key,
+                                                     const http_request& request,
+                                                     std::unique_lock<std::mutex>& lock)
+{
     const bool is_read = request.method == "GET";
     const bool is_watch = is_read && request.parameters.contains("after");
     operation_counts& second = counts_of_current_second();
--- a/tests/standins/store/objecttable.h
+++ b/tests/standins/store/objecttable.h
@@ -45,6 +45,12 @@
     object_table(const object_table&) = delete;
     object_table& operator=(const object_table&) = delete;
 
+    /// Keeps a copy of all objects for restore().
+    void keep_copy();
+    /// Returns to the kept copy, as after a restart from a backup: versions go back and are given
+    /// out again, and a new epoch begins. Without a copy, all objects are gone.
+    void restore();
+
     /// Serves /objects/...; empty if the connection must be closed without a reply.
     std::optional<http_reply> serve(const http_request& request);
 
@@ -78,6 +84,8 @@
     /// Waits until the outage ends and for the delay of a slow store. Returns false if the
     /// connection must be closed without a reply.
     bool apply_faults(std::unique_lock<std::mutex>& lock);
+    std::optional<http_reply> serve_object(const std::string& key, const http_request& request,
+                                           std::unique_lock<std::mutex>& lock);
     std::optional<http_reply> read(const std::string& key);
     std::optional<http_reply> watch(const std::string& key, const http_request& request,
                                     std::unique_lock<std::mutex>& lock);
@@ -89,6 +97,11 @@
     std::condition_variable changed_;
     std::map<std::string, stored_object> objects_;
     object_version last_version_ = 0;
+    std::map<std::string, stored_object> copied_objects_;
+    object_version copied_version_ = 0;
+    // Stated in all replies; differs between any two processes and changes with restore().
+    std::uint64_t epoch_ = static_cast<std::uint64_t>(
+        std::chrono::system_clock::now().time_since_epoch() / std::chrono::milliseconds{1});
     fault_settings faults_;
     // Incremented with each change of the outage mode.
     std::uint64_t outage_number_ = 0;
