--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -41,6 +41,7 @@
             add_service(fmt::format("shard{}", shard));
         add_service("orders");
         write_configuration(1);
+        copy_ = store_.copy();
     }
 
 private:
@@ -148,6 +149,10 @@
             store_.forget_history();
         if (command.value("cut_watches", false))
             store_.cut_watches();
+        if (command.value("keep_copy", false))
+            copy_ = store_.copy();
+        if (command.value("restore", false))
+            store_.restore(copy_);
         if (command.contains("version"))
             write_configuration(command["version"].get<int>());
         if (command.contains("fail")) {
@@ -174,6 +179,7 @@
     timer_queue& timers_;
     emulator_options options_;
     standin::platform_store store_;
+    standin::store_copy copy_;
     std::vector<std::string> services_;
     std::vector<std::unique_ptr<standin::platform_upstream>> upstreams_;
     http_server admin_;
