--- a/tests/auto/peers/tst_peertable.cpp
+++ b/tests/auto/peers/tst_peertable.cpp
@@ -236,6 +236,25 @@
     cr_assert(f.table.hosts_ahead_of({7, 7, 9}, f.now).empty());
 }
 
+// The store was restored, and its revisions have gone back. Guards against hosts that do not read
+// the state of one that has seen the new epoch, or that wait for revisions of the earlier one.
+Test(peer_table, epochs_go_before_revisions)
+{
+    peer_fixture f;
+    f.table.upsert(record("a", 5, 1), f.now);
+    f.table.upsert(record("b", 5, 1), f.now);
+    host_heartbeat restored{host_id{"a"}, 5, true, false, false, {3, 4, 0, 2, 2}, true, true};
+    const peer_message message{restored, 0, 0, {}};
+    cr_assert(decode_peer_message(encode_peer_message(message)) == message);
+    f.table.record_heartbeat(restored, f.now);
+    f.table.record_heartbeat({host_id{"b"}, 5, true, false, false, {9, 9, 9, 9, 1}}, f.now);
+    cr_assert(f.table.newest_applied() == (applied_revisions{3, 4, 0, 2, 2}));
+    cr_assert(f.table.hosts_ahead_of({9, 9, 9, 9, 1}, f.now).size() == 1);
+    cr_assert(f.table.hosts_ahead_of({3, 4, 0, 2, 2}, f.now).empty());
+    cr_assert(f.table.retaining_hosts(2, f.now).size() == 1);
+    cr_assert(f.table.retaining_hosts(1, f.now).empty());
+}
+
 // Guards against a host that takes a larger part of the limits as soon as others fall silent,
 // although they may only be cut off from it and go on sending calls.
 Test(peer_table, silent_host_keeps_its_part_of_the_limits_for_a_while)
