--- a/src/libs/node/storesync.cpp
+++ b/src/libs/node/storesync.cpp
@@ -38,6 +38,8 @@
 {
     using Visitors::operator()...;
 };
+template <class... Visitors>
+overloaded(Visitors...) -> overloaded<Visitors...>;
 
 const char* key_of(object_kind kind)
 {
--- a/tests/auto/control/tst_changehistory.cpp
+++ b/tests/auto/control/tst_changehistory.cpp
@@ -43,7 +43,7 @@
 // force, because its version has been given out before.
 Test(change_history, changes_of_a_restored_store_come_into_force)
 {
-    for (const object_version version : {8, 9}) {
+    for (const object_version version : {object_version{8}, object_version{9}}) {
         cr_assert(compare(version, {"x", "b", "a"}) ==
                   (history_action{renumber_stored{version, 9}}));
         cr_assert((compare(version, {"x"}) == history_action{renumber_stored{version, 9}}));
