--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -175,6 +175,9 @@
 
 void collection_watch::retain()
 {
+    const std::uint64_t before = std::exchange(copied_epoch_, copy_.epoch());
+    if (before != 0 && before != copy_.epoch())
+        handlers_.restored(collection_, copy_);
     if (copy_.retained_count() == 0) {
         settle_timer_.cancel();
         return;
@@ -202,7 +205,7 @@
     const auto changed = copy_.settle(all ? collection_copy::settle_scope::all
                                           : collection_copy::settle_scope::missing);
     if (!changed.empty())
-        handlers_.settled(changed);
+        handlers_.settled(collection_, changed);
     if (!all)
         settle_timer_.set(retained_since_ + policy_.outdated_retention);
 }
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -21,8 +21,13 @@
     /// Changed and deleted items in the order of their revisions.
     std::function<void(const std::vector<platform::stored_item>&)> changed;
     /// Changes because the store's state of retained items is accepted; see collection_copy.
-    std::function<void(const std::vector<platform::stored_item>&)> settled = [](const auto&) {
-    };
+    std::function<void(platform::store_collection, const std::vector<platform::stored_item>&)>
+        settled = [](auto, const auto&) {
+        };
+    /// The copy was replaced by the state of a later epoch of the store.
+    std::function<void(platform::store_collection, const collection_copy&)> restored =
+        [](auto, const auto&) {
+        };
     /// Contact with the store was lost (with a reason) or regained (empty reason).
     std::function<void(platform::store_collection, std::string_view)> contact_changed;
     /// A reply states an epoch of the store that is newer than all before.
@@ -179,6 +184,8 @@
     time_point retained_since_{};
     // Epoch for which retained_since_ was set.
     std::uint64_t retained_epoch_ = 0;
+    // Epoch of the copy when it was last replaced.
+    std::uint64_t copied_epoch_ = 0;
     loop_timer settle_timer_;
     store_retry retry_;
 };
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -144,7 +144,13 @@
 {
     return {[apply](const auto& items) { apply(items, true); },
             [apply](const auto& items) { apply(items, false); },
-            [apply](const auto& items) { apply(items, false); },
+            [this, apply](store_collection collection, const auto& items) {
+                on_settled(collection, items);
+                apply(items, false);
+            },
+            [this](store_collection collection, const collection_copy& copy) {
+                on_restored(collection, copy);
+            },
             [this](store_collection collection, std::string_view reason) {
                 on_store_contact_changed(collection, reason);
             },
@@ -180,7 +186,8 @@
         else
             upstream_updater_.on_changed(items);
     });
-    out.settled = [this](const auto& items) {
+    out.settled = [this](store_collection collection, const auto& items) {
+        on_settled(collection, items);
         upstream_updater_.on_settled(items);
     };
     return out;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -78,6 +78,9 @@
     void on_hosts(const std::vector<platform::stored_item>& items, bool is_full_list);
     void on_store_contact_changed(platform::store_collection collection, std::string_view reason);
     void on_store_epoch(platform::store_collection collection, std::uint64_t epoch);
+    void on_restored(platform::store_collection collection, const collection_copy& copy);
+    void on_settled(platform::store_collection collection,
+                    const std::vector<platform::stored_item>& items);
     void on_heartbeat_due();
     void on_peer_message(const peer_message& message, const endpoint& from);
     // Asks relays for digests; only in a large fleet.
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -227,7 +227,8 @@
 void gateway::read_retained(time_point now)
 {
     const std::uint64_t epoch = known().epoch;
-    if (retained_epoch_ >= epoch || !configuration_watch_.complete() || snapshot_channel_.busy())
+    if (retained_epoch_ >= epoch || !configuration_watch_.complete() || snapshot_channel_.busy() ||
+        now < next_snapshot_read_)
         return;
     const auto sources = peers_.retaining_hosts(epoch, now);
     if (sources.empty())
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -36,6 +36,27 @@
                {{"collection", to_string(collection)}, {"epoch", epoch}, {"before", before}});
 }
 
+void gateway::on_restored(store_collection collection, const collection_copy& copy)
+{
+    log_.write(log_level::warning, "state_restored",
+               {{"collection", to_string(collection)},
+                {"epoch", copy.epoch()},
+                {"revision", copy.revision()},
+                {"retained", static_cast<std::uint64_t>(copy.retained_count())}});
+}
+
+void gateway::on_settled(store_collection collection, const std::vector<stored_item>& items)
+{
+    constexpr std::size_t max_names = 8;
+    std::string names;
+    for (std::size_t it = 0; it < std::min(items.size(), max_names); ++it)
+        names += (names.empty() ? "" : ",") + items[it].name;
+    log_.write(log_level::warning, "retained_settled",
+               {{"collection", to_string(collection)},
+                {"items", static_cast<std::uint64_t>(items.size())},
+                {"first", names}});
+}
+
 void gateway::on_configuration(const std::vector<stored_item>& items)
 {
     for (const stored_item& it : items) {
--- a/src/libs/metrics/gatewaymetrics.cpp
+++ b/src/libs/metrics/gatewaymetrics.cpp
@@ -61,7 +61,7 @@
     Counter& store_restorations =
         prometheus::BuildCounter()
             .Name("ebonywick_gateway_store_restorations_total")
-            .Help("Restorations of the store from an older copy, counted once for each collection")
+            .Help("Restorations of the store from an older copy that this host has seen")
             .Register(registry)
             .Add({});
     // Time series by label value, since a look-up in the family costs more than the rest of an
--- a/src/libs/metrics/gatewaymetrics.h
+++ b/src/libs/metrics/gatewaymetrics.h
@@ -29,7 +29,7 @@
     /// An answer left out `count` shards.
     void shards_missing(std::size_t count);
     void store_call(std::string_view outcome);
-    /// A collection was read for the first time after the store had been restored from a copy.
+    /// A reply has shown that the store was restored from an older copy.
     void store_restored();
 
     /// Values that are read when the metrics are exported.
