gateway tests: a host that has read the restored store learns what others retain

Cause: the mutant without read_retained() survived, because a host that starts reads others before the store. Only a host that is registered already reads the store first. Change: a test of that order; the mutant belongs to it. Measured: the mutant is found; the test passes.

--- a/tests/auto/gateway/tst_restoredstore.cpp
+++ b/tests/auto/gateway/tst_restoredstore.cpp
@@ -176,3 +176,24 @@
     f.store.put("config", "main", f.configuration(3));
     cr_assert(f.wait_for_version(second, 3));
 }
+
+// A registered host restarts and reads the store before it hears from others. Guards against a host
+// that keeps the state of the copy because its revision is the same as that of the others.
+Test(restored_store, host_that_has_read_the_store_learns_what_others_retain)
+{
+    restored_fixture f;
+    f.start_ready();
+    gateway_settings second = f.other_host("h2");
+    second.seeds.clear();
+    auto started = f.start_host(second);
+    cr_assert(f.wait_for_version(second, 1));
+    started.reset();
+    const auto copy = f.store.copy();
+    f.store.put("config", "main", f.configuration(2));
+    cr_assert(f.wait_for_version(2));
+    f.store.restore(copy);
+    f.run(4s);
+    started = f.start_host(second);
+    cr_assert(f.wait_for_version(second, 1));
+    cr_assert(f.wait_for_version(second, 2));
+}
