--- a/review/standins.py
+++ b/review/standins.py
@@ -378,6 +378,8 @@
 def run_case(case, limit_s=110):
     """Runs `case(site)`, which returns the list of broken promises, and exits."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
+    # Ends through main(), so that the gateways are ended too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
 
     async def main():
         site = Site(folder)
