--- a/review/standins.py
+++ b/review/standins.py
@@ -21,6 +21,7 @@
 PROGRAM = os.path.join(ROOT, "target/src/app/ebonywick")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_S = 1.2
+SILENT_HEARTBEATS = 3  # after these the store removes the entry of a silent searcher
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 
@@ -233,10 +234,13 @@
         self.server.close()
         for it in list(self.writers):
             it.transport.abort()
+        self.lapse = asyncio.get_running_loop().call_later(
+            SILENT_HEARTBEATS * HEARTBEAT_S, self.store.delete, "servers", self.name)
 
     async def restart(self):
         """Starts again under the same id and address, as a new lifetime."""
         self.record("starts again:", self.name)
+        self.lapse.cancel()
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.registered, self.sequence, self.born = True, 0, int(time.time() * 1000)
         self.register()
