gateway: report upstreams that state that they leave or ask for a pause

Cause: a host evaluates neither the statement of a reply that its upstream is leaving nor the pause that a refusal asks for, and no log line or metric shows them, so the three hypotheses of the incident cannot be told apart.

Change: platform/ decodes both (the former from the header, which is complete before the body); lines upstream_leaving and upstream_pause, two gauges and two counters of the calls that follow. No decision changes.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -77,7 +77,8 @@
           loop, timers, [this](const upstream& to) { return connection_limit(to); },
           [this](const upstream_pointer& from, const platform::decoded_reply& reply) {
               on_reply_reported(from, reply);
-          }),
+          },
+          [this](const upstream_pointer& by) { on_leaving_stated(by, "reply"); }),
       upstream_updater_(upstreams_, timers, log),
       configuration_watch_(loop, timers, settings.store, store_collection::configuration,
                            {gateway_constants::configuration_pause, platform::freshness::stale_ok},
@@ -201,6 +202,33 @@
         upstreams_.cold_reported(*from, *reply.cold_remaining, timers_.now());
     if (reply.limit)
         on_limit_stated(from, *reply.limit, timers_.now(), "reply");
+    if (reply.pause)
+        on_pause_stated(from, *reply.pause);
+}
+
+void gateway::on_leaving_stated(const upstream_pointer& by, std::string_view source)
+{
+    if (by->stated_leaving())
+        return;
+    upstreams_.leaving_stated(*by);
+    log_.write(log_level::info, "upstream_leaving",
+               {{"upstream", by->entry().id.value()},
+                {"service", by->entry().service.value()},
+                {"incarnation", by->entry().incarnation},
+                {"source", source},
+                {"entry", by->entry().leaving ? "leaving" : "ready"}});
+}
+
+void gateway::on_pause_stated(const upstream_pointer& by, duration pause)
+{
+    const time_point before = by->paused_until();
+    upstreams_.pause_stated(*by, timers_.now() + pause);
+    if (by->paused_until() == before)
+        return;
+    log_.write(log_level::info, "upstream_pause",
+               {{"upstream", by->entry().id.value()},
+                {"service", by->entry().service.value()},
+                {"pause_ms", fmt::format("{:.0f}", to_milliseconds(pause))}});
 }
 
 void gateway::on_limit_stated(const upstream_pointer& by, const stated_limit& limit,
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -71,6 +71,9 @@
     // Takes over what a reply says about the state of its upstream.
     void on_reply_reported(const upstream_pointer& from, const platform::decoded_reply& reply);
     // `source` is "reply" or "host".
+    void on_leaving_stated(const upstream_pointer& by, std::string_view source);
+    void on_pause_stated(const upstream_pointer& by, duration pause);
+    // `source` as in on_leaving_stated().
     void on_limit_stated(const upstream_pointer& by, const stated_limit& limit,
                          time_point stated_at, std::string_view source);
     void on_configuration(const std::vector<platform::stored_item>& items);
--- a/src/libs/gateway/upstreamconnection.cpp
+++ b/src/libs/gateway/upstreamconnection.cpp
@@ -157,7 +157,9 @@
         close();
         return;
     }
-    switch (reader_.feed({input_.data(), n})) {
+    const read_state state = reader_.feed({input_.data(), n});
+    note_leaving();
+    switch (state) {
     case read_state::need_more:
         read();
         return;
@@ -177,8 +179,16 @@
     }
 }
 
+void upstream_connection::note_leaving()
+{
+    const http_message* reply = reader_.begun_message();
+    if (reply != nullptr && platform::states_leaving(*reply))
+        events_.leaving(to_);
+}
+
 void upstream_connection::on_reply()
 {
+    note_leaving();
     http_message message = reader_.take();
     if (message.status < first_final_status) {
         const bool known = message.status != status_switching_protocols &&
--- a/src/libs/gateway/upstreamconnection.h
+++ b/src/libs/gateway/upstreamconnection.h
@@ -27,6 +27,9 @@
     /// A reply has arrived, which may hold load and cold-start state of the upstream. Called
     /// before the call ends.
     std::function<void(const upstream_pointer&, const platform::decoded_reply&)> reported;
+    /// The header of a reply has stated that the upstream is leaving. Also called if the reply
+    /// turns out to be incomplete or to belong to another request.
+    std::function<void(const upstream_pointer&)> leaving;
 };
 
 /// Reference-counted; pending operations keep it alive. Bytes that arrive outside of a call, or
@@ -60,6 +63,8 @@
     void on_connected(const boost::system::error_code& ec);
     void read();
     void on_read(const boost::system::error_code& ec, std::size_t n);
+    // Evaluates the header of the current reply, if it has arrived.
+    void note_leaving();
     // Takes the complete reply out of reader_ and ends the call with it. Interim replies are
     // skipped.
     void on_reply();
--- a/src/libs/httpstream/messagereader.cpp
+++ b/src/libs/httpstream/messagereader.cpp
@@ -230,6 +230,12 @@
     return std::visit([](const auto& it) { return it.is_header_done(); }, *impl_->parser);
 }
 
+const http_message* message_reader::begun_message() const
+{
+    return std::visit([](const auto& it) { return it.is_header_done() ? &it.message : nullptr; },
+                      *impl_->parser);
+}
+
 bool message_reader::expects_continue() const
 {
     return std::visit(
--- a/src/libs/httpstream/messagereader.h
+++ b/src/libs/httpstream/messagereader.h
@@ -59,6 +59,8 @@
     /// True once a byte of the current message has arrived.
     [[nodiscard]] bool message_started() const;
     [[nodiscard]] bool header_complete() const;
+    /// The current message as far as it has arrived; null until its header is complete.
+    [[nodiscard]] const http_message* begun_message() const;
     /// True if the sender of the request waits for the interim reply `100 Continue` before it
     /// sends the body.
     [[nodiscard]] bool expects_continue() const;
--- a/src/libs/metrics/gatewaymetrics.cpp
+++ b/src/libs/metrics/gatewaymetrics.cpp
@@ -139,6 +139,15 @@
         static_cast<double>(values.limited_upstreams));
     set("ebonywick_gateway_calls_to_limited_upstreams", "Calls to such upstreams since the start",
         static_cast<double>(values.calls_to_limited_upstreams));
+    set("ebonywick_gateway_leaving_upstreams",
+        "Upstreams that have stated in a reply that they are leaving",
+        static_cast<double>(values.leaving_upstreams));
+    set("ebonywick_gateway_calls_to_leaving_upstreams", "Calls to such upstreams since the start",
+        static_cast<double>(values.calls_to_leaving_upstreams));
+    set("ebonywick_gateway_paused_upstreams", "Upstreams that have asked this host for a pause",
+        static_cast<double>(values.paused_upstreams));
+    set("ebonywick_gateway_calls_to_paused_upstreams", "Calls to such upstreams since the start",
+        static_cast<double>(values.calls_to_paused_upstreams));
     set("ebonywick_gateway_upstream_connections", "Open connections to upstreams",
         static_cast<double>(values.upstream_connections));
     set("ebonywick_gateway_upstream_connections_opened", "Connections opened since the start",
--- a/src/libs/metrics/gatewaymetrics.h
+++ b/src/libs/metrics/gatewaymetrics.h
@@ -41,6 +41,12 @@
         std::size_t limited_upstreams = 0;
         // Calls to such upstreams since the start.
         std::uint64_t calls_to_limited_upstreams = 0;
+        // Upstreams that have stated in a reply that they are leaving.
+        std::size_t leaving_upstreams = 0;
+        std::uint64_t calls_to_leaving_upstreams = 0;
+        // Upstreams that have asked this host for a pause.
+        std::size_t paused_upstreams = 0;
+        std::uint64_t calls_to_paused_upstreams = 0;
         std::size_t upstream_connections = 0;
         // Connections opened since the start.
         std::uint64_t upstream_connections_opened = 0;
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -189,6 +189,19 @@
     }));
 }
 
+std::size_t upstream_table::leaving_count() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        by_id_.begin(), by_id_.end(), [](const auto& it) { return it.second->stated_leaving_; }));
+}
+
+std::size_t upstream_table::paused_count(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(by_id_.begin(), by_id_.end(),
+                      [&](const auto& it) { return it.second->paused_until_ > now; }));
+}
+
 double upstream_table::decayed_relative_latency(const upstream& it, time_point now)
 {
     return 1.0 +
@@ -330,6 +343,10 @@
 void upstream_table::call_started(upstream& it, time_point now)
 {
     ++it.calls_;
+    if (it.stated_leaving_)
+        ++calls_to_leaving_;
+    if (it.paused_until_ > now)
+        ++calls_to_paused_;
     if (it.limit_.calls_per_second) {
         ++calls_to_limited_;
         it.limit_tokens_.take(now);
@@ -425,6 +442,16 @@
         divide_limit(it, now);
 }
 
+void upstream_table::leaving_stated(upstream& it)
+{
+    it.stated_leaving_ = true;
+}
+
+void upstream_table::pause_stated(upstream& it, time_point until)
+{
+    it.paused_until_ = std::max(it.paused_until_, until);
+}
+
 std::vector<limit_report> upstream_table::limit_reports(time_point now)
 {
     std::vector<limit_report> out;
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -94,6 +94,11 @@
     [[nodiscard]] std::uint32_t calls() const { return calls_; }
     /// What the upstream stated last.
     [[nodiscard]] const stated_limit& limit() const { return limit_; }
+    /// A reply has stated that the upstream is leaving. Holds until the end of its lifetime,
+    /// whatever its entry says.
+    [[nodiscard]] bool stated_leaving() const { return stated_leaving_; }
+    /// A refusal has asked this host for a pause until then.
+    [[nodiscard]] time_point paused_until() const { return paused_until_; }
 
 private:
     friend class upstream_table;
@@ -120,6 +125,8 @@
     time_point backoff_until_{};
     // Failed and late calls since the last successful reply.
     std::uint32_t consecutive_failures_ = 0;
+    bool stated_leaving_ = false;
+    time_point paused_until_{};
     // As of limit_stated_at_.
     stated_limit limit_;
     time_point limit_stated_at_{};
@@ -161,6 +168,14 @@
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
     /// Number of upstreams that state a limit.
     [[nodiscard]] std::size_t limited_count() const;
+    /// Number of upstreams that have stated in a reply that they are leaving.
+    [[nodiscard]] std::size_t leaving_count() const;
+    /// Number of upstreams that have asked this host for a pause which has not ended.
+    [[nodiscard]] std::size_t paused_count(time_point now) const;
+    /// Calls started to upstreams that had stated that they are leaving.
+    [[nodiscard]] std::uint64_t calls_to_leaving() const { return calls_to_leaving_; }
+    /// Calls started to upstreams within a pause that they had asked for.
+    [[nodiscard]] std::uint64_t calls_to_paused() const { return calls_to_paused_; }
     /// Calls started to upstreams that stated a limit at that time.
     [[nodiscard]] std::uint64_t calls_to_limited() const { return calls_to_limited_; }
 
@@ -191,6 +206,11 @@
     /// A reply to this or another host stated `limit` at `stated_at`. Ignored if a later statement
     /// is known.
     void limit_stated(upstream& it, stated_limit limit, time_point stated_at, time_point now);
+    /// A reply has stated that `it` is leaving.
+    void leaving_stated(upstream& it);
+    /// A refusal has asked this host for a pause until `until`. A pause does not end earlier
+    /// because another refusal asks for a shorter one.
+    void pause_stated(upstream& it, time_point until);
     /// The limits that are in force and those that have ended recently, for other hosts.
     [[nodiscard]] std::vector<limit_report> limit_reports(time_point now);
     /// Short name of an upstream and its incarnation in limit reports.
@@ -246,6 +266,8 @@
     // Calls per second of all hosts to each cold upstream of a service; positive.
     std::unordered_map<service_name, double> cold_rates_;
     std::uint64_t calls_to_limited_ = 0;
+    std::uint64_t calls_to_leaving_ = 0;
+    std::uint64_t calls_to_paused_ = 0;
 };
 
 } // namespace ebonywick
--- a/tests/auto/platform/tst_httpcodec.cpp
+++ b/tests/auto/platform/tst_httpcodec.cpp
@@ -153,3 +153,33 @@
     cr_assert(decode_reply(reply(429, {{"X-Not-Executed", "1"}, {"Server-Limit", "3"}})).limit ==
               stated_limit{3.0});
 }
+
+// Failure: a statement that the upstream leaves is missed in a refusal or a failure, or one of
+// another upstream at the address is taken for it.
+Test(http_codec, statement_of_leaving)
+{
+    for (const int status : {200, 404, 408, 429, 500, 503})
+        cr_assert(states_leaving(reply(status, {{"server-leaving", "1"}})), "%d", status);
+    cr_assert(!states_leaving(reply(421, {{"Server-Leaving", "1"}})));
+    cr_assert(!states_leaving(reply(200, {})));
+    cr_assert(!states_leaving(reply(200, {{"Server-Leaving", "0"}})));
+}
+
+// Failure: a pause that an upstream asks for is missed, shortened or overflows, or a text that is
+// no number of seconds counts as one.
+Test(http_codec, pause_of_a_refusal)
+{
+    const auto pause = [](int status, const std::string& value) {
+        return decode_reply(reply(status, {{"X-Not-Executed", "1"}, {"Retry-After", value}})).pause;
+    };
+    cr_assert(pause(503, "4") == 4s && pause(429, "4") == 4s);
+    cr_assert(pause(503, "0.25") == 250ms);
+    cr_assert(pause(503, "0") == 0s);
+    cr_assert(pause(503, "99999999999999999999") == 1h);
+    for (const char* invalid : {"-1", "", "soon", "1e3", "Fri, 31 Dec 1999 23:59:59 GMT"})
+        cr_assert(!pause(503, invalid), "%s", invalid);
+    cr_assert(!pause(500, "4") && !pause(421, "4"));
+    cr_assert(!decode_reply(reply(503, {{"X-Not-Executed", "1"}})).pause);
+    // A failure that may have run asks for a pause just the same.
+    cr_assert(decode_reply(reply(503, {{"Retry-After", "4"}})).pause == 4s);
+}
--- a/tests/standins/platform/platformupstream.cpp
+++ b/tests/standins/platform/platformupstream.cpp
@@ -38,6 +38,14 @@
     faults_.insert(faults_.end(), count, fault);
 }
 
+std::string platform_upstream::reply(int status, field_list fields, const std::string& body,
+                                     bool with_length) const
+{
+    if (leaving_)
+        fields.emplace_back("Server-Leaving", "1");
+    return reply_text(status, fields, body, with_length);
+}
+
 std::string platform_upstream::load() const
 {
     return fmt::format("{},{},{}", running_, waiting_.size(), options_.slots);
@@ -56,15 +64,13 @@
     ended_.clear();
     const http_message& message = exchange.request();
     if (message.target == "/health") {
-        exchange.answer(
-            reply_text(200, {{"X-Instance-Id", options_.id}, {"X-Server-Load", load()}}, ""),
-            after_answer::keep_open);
+        exchange.answer(reply(200, {{"X-Instance-Id", options_.id}, {"X-Server-Load", load()}}, ""),
+                        after_answer::keep_open);
         return;
     }
     const auto expected = message.field("X-Expect-Instance");
     if (!expected.empty() && expected != options_.id) {
-        exchange.answer(reply_text(421, {{"X-Instance-Id", options_.id}}, ""),
-                        after_answer::keep_open);
+        exchange.answer(reply(421, {{"X-Instance-Id", options_.id}}, ""), after_answer::keep_open);
         return;
     }
     arrivals_.push_back(timers_.now());
@@ -73,8 +79,16 @@
         fault = faults_.front();
         faults_.pop_front();
     }
+    if (timers_.now() < refused_until_) {
+        field_list fields{{"X-Request-Id", std::string{message.field("X-Request-Id")}},
+                          {"X-Not-Executed", "1"}};
+        if (!retry_after_.empty())
+            fields.emplace_back("Retry-After", retry_after_);
+        exchange.answer(reply(503, std::move(fields), ""), after_answer::keep_open);
+        return;
+    }
     if (fault == upstream_fault::shed || waiting_.size() >= options_.queue) {
-        exchange.answer(reply_text(503, {{"X-Not-Executed", "1"}, {"X-Server-Load", load()}}, ""),
+        exchange.answer(reply(503, {{"X-Not-Executed", "1"}, {"X-Server-Load", load()}}, ""),
                         after_answer::keep_open);
         return;
     }
@@ -115,8 +129,7 @@
     ended_.push_back(it);
     const std::string id{it->exchange.request().field("X-Request-Id")};
     const std::string stamp = fmt::format("{}.{:x}", options_.id, stable_hash(id));
-    std::vector<std::pair<std::string, std::string>> fields{
-        {"X-Request-Id", id}, {"X-Server-Stamp", stamp}, {"X-Server-Load", load()}};
+    field_list fields{{"X-Request-Id", id}, {"X-Server-Stamp", stamp}, {"X-Server-Load", load()}};
     if (limit_)
         fields.emplace_back("Server-Limit", fmt::format("{:.3f}", *limit_));
     const std::string body = result_records(id);
@@ -126,12 +139,12 @@
             it->exchange.answer("", after_answer::close);
             break;
         case upstream_fault::truncate: {
-            const auto text = reply_text(200, fields, body);
+            const auto text = reply(200, fields, body);
             it->exchange.answer(text.substr(0, text.size() - 10), after_answer::close);
             break;
         }
         case upstream_fault::extra_reply: {
-            const auto text = reply_text(200, fields, body);
+            const auto text = reply(200, fields, body);
             it->exchange.answer(text + text, after_answer::keep_open);
             break;
         }
@@ -139,27 +152,26 @@
             const std::string other = "another";
             fields[0].second = other;
             fields[1].second = fmt::format("{}.{:x}", options_.id, stable_hash(other));
-            it->exchange.answer(reply_text(200, fields, result_records(other)),
-                                after_answer::keep_open);
+            it->exchange.answer(reply(200, fields, result_records(other)), after_answer::keep_open);
             break;
         }
         case upstream_fault::content_encoded:
             fields.emplace_back("Content-Encoding", "gzip");
-            it->exchange.answer(reply_text(200, fields, body), after_answer::keep_open);
+            it->exchange.answer(reply(200, fields, body), after_answer::keep_open);
             break;
         case upstream_fault::not_http:
             it->exchange.answer("\x02\x03 no reply at all\r\n\r\n", after_answer::keep_open);
             break;
         case upstream_fault::fail:
-            it->exchange.answer(reply_text(500, fields, "failed"), after_answer::keep_open);
+            it->exchange.answer(reply(500, fields, "failed"), after_answer::keep_open);
             break;
         case upstream_fault::unframed:
-            it->exchange.answer(reply_text(200, fields, body, false), after_answer::close);
+            it->exchange.answer(reply(200, fields, body, false), after_answer::close);
             break;
         case upstream_fault::none:
         case upstream_fault::shed:
         case upstream_fault::silent:
-            it->exchange.answer(reply_text(200, fields, body), after_answer::keep_open);
+            it->exchange.answer(reply(200, fields, body), after_answer::keep_open);
             break;
         }
     }
--- a/tests/standins/platform/platformupstream.h
+++ b/tests/standins/platform/platformupstream.h
@@ -73,6 +73,15 @@
 
     /// Applies the fault to the next `count` requests.
     void fail_next(upstream_fault fault, std::size_t count);
+    /// From now on all replies state that the upstream is leaving, or no longer do.
+    void state_leaving(bool leaving) { leaving_ = leaving; }
+    /// Requests that arrive before `until` are refused without a run, with this text as the time
+    /// to wait; no text: without one.
+    void refuse_until(time_point until, std::string retry_after)
+    {
+        refused_until_ = until;
+        retry_after_ = std::move(retry_after);
+    }
     /// From now on replies state this limit of requests per second; nullopt: none.
     void set_limit(std::optional<double> requests_per_second) { limit_ = requests_per_second; }
     void set_service_time(duration time) { options_.service_time = time; }
@@ -103,12 +112,19 @@
     void serve(http_exchange exchange);
     void start_jobs();
     void finish(const std::shared_ptr<job>& it);
+    using field_list = std::vector<std::pair<std::string, std::string>>;
+    // A reply with `fields` and what the upstream states in all of them.
+    [[nodiscard]] std::string reply(int status, field_list fields, const std::string& body,
+                                    bool with_length = true) const;
     [[nodiscard]] std::string load() const;
     [[nodiscard]] std::string result_records(const std::string& request_id) const;
 
     timer_queue& timers_;
     upstream_options options_;
     std::optional<double> limit_;
+    bool leaving_ = false;
+    time_point refused_until_{};
+    std::string retry_after_;
     std::vector<run> runs_;
     std::vector<time_point> arrivals_;
     std::uint32_t running_ = 0;
