upstreams, gateway, peers: what an upstream says of itself goes before its entry

Callers saw nothing at first; upstreams that had said in their replies that they leave went on getting requests, which are lost when the upstream ends.

Cause: whether an upstream leaves was known from its entry in the store only, which is late when the store is away, silent or restored, and says ready for ever if the upstream cannot write. The class: a state is believed from a list although its owner has said otherwise.

Change: the statement is kept for the lifetime of the upstream (id, address, service, start), whatever its entry says. It outlives a removed entry for an hour, as limits do now (they were forgotten with the entry). Hosts tell each other in heartbeats, by a 64 bit hash, for as long as the upstream is listed and 30 s after. Another start under the same id is used at once.

Ruled out: bringing the upstream back when its entry says ready later. Its writer may be behind.

--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -72,7 +72,9 @@
 
 peer_message gateway::own_message()
 {
-    return {own_heartbeat(), 0, 0, {}, upstreams_.limit_reports(timers_.now())};
+    const time_point now = timers_.now();
+    return {
+        own_heartbeat(), 0, 0, {}, upstreams_.limit_reports(now), upstreams_.leaving_reports(now)};
 }
 
 void gateway::query_relays(time_point now)
@@ -96,6 +98,10 @@
         if (const upstream_pointer of = upstreams_.find_reported(it.upstream))
             on_limit_stated(of, it.limit, now - it.age, "host");
     }
+    for (const lifetime_key it : message.leaving_upstreams) {
+        if (const upstream_pointer of = upstreams_.find_lifetime(it))
+            on_leaving_stated(of, "host");
+    }
     if (message.answered_query != 0) {
         const duration round_trip = now - time_point{duration{message.answered_query}};
         if (round_trip < duration::zero() || round_trip > peers_.heartbeat_interval())
--- a/src/libs/gateway/upstreamtableupdater.cpp
+++ b/src/libs/gateway/upstreamtableupdater.cpp
@@ -41,7 +41,7 @@
         }
         const upstream_id id{it.name};
         log_.write(log_level::info, "upstream_removed", {{"upstream", it.name}});
-        table_.remove(id);
+        table_.remove(id, timers_.now());
         removal_times_.erase(id);
     }
 }
@@ -106,7 +106,7 @@
             continue;
         }
         log_.write(log_level::info, "upstream_removed", {{"upstream", it->first.value()}});
-        table_.remove(it->first);
+        table_.remove(it->first, now);
         it = removal_times_.erase(it);
     }
     removal_timer_.set(next);
--- a/src/libs/peers/hostrecord.cpp
+++ b/src/libs/peers/hostrecord.cpp
@@ -129,6 +129,8 @@
         // Rounded up: a statement must not look newer than it is.
         out.add_limit_age(encode_age(it.age + std::chrono::microseconds{999}));
     }
+    for (const std::uint64_t it : message.leaving_upstreams)
+        out.add_leaving_upstream(it);
     return out.SerializeAsString();
 }
 
@@ -159,6 +161,7 @@
                               (state & leaving_bit) != 0, (state & strained_bit) != 0,
                               (state & reads_store_bit) != 0});
     }
+    out.leaving_upstreams.assign(in.leaving_upstream().begin(), in.leaving_upstream().end());
     for (int it = 0; it < in.limit_upstream_size(); ++it) {
         const double rate = in.limit_rate(it);
         if (!std::isfinite(rate))
--- a/src/libs/peers/hostrecord.h
+++ b/src/libs/peers/hostrecord.h
@@ -95,8 +95,8 @@
     auto operator<=>(const digest_entry&) const = default;
 };
 
-/// A datagram: always a heartbeat of the sender, and possibly limits of upstreams, a query for a
-/// digest or the digest that answers one.
+/// A datagram: always a heartbeat of the sender, and possibly what upstreams have stated, a query
+/// for a digest or the digest that answers one.
 struct peer_message
 {
     host_heartbeat heartbeat;
@@ -108,6 +108,8 @@
     std::vector<digest_entry> digest;
     // Limits of upstreams that the sender knows.
     std::vector<limit_report> limits = {};
+    // upstream_table::key_of() of upstreams that have stated that they are leaving.
+    std::vector<std::uint64_t> leaving_upstreams = {};
 
     auto operator<=>(const peer_message&) const = default;
 };
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -56,12 +56,36 @@
 // that fit into a datagram beside a digest.
 constexpr duration limit_report_time = std::chrono::seconds{30};
 constexpr std::size_t max_limit_reports = 64;
+// Leaving upstreams that fit into a datagram beside the limits.
+constexpr std::size_t max_leaving_reports = 32;
+// Time for which the statements of a removed upstream are remembered, and number of such upstreams.
+// An entry may return long after it was removed, for example from a restored store.
+constexpr duration removed_statement_time = std::chrono::hours{1};
+constexpr std::size_t max_removed_statements = 1024;
 // Tokens of a limit that first calls leave to hedges and retries. With the limited upstreams of a
 // shard used up, nothing could replace the remaining one during a pause.
 constexpr double reserved_tokens = 1.0;
 // An upstream is chosen with a probability proportional to its cost to the power of minus this.
 constexpr double weight_exponent = 3.0;
 
+// The entries belong to the same process, for which its statements hold.
+bool same_lifetime(const upstream_entry& a, const upstream_entry& b)
+{
+    return a.id == b.id && a.address == b.address && a.service == b.service &&
+           a.incarnation == b.incarnation;
+}
+
+// Keeps at most `max_count` of the reports; if there are more, each is kept now and then.
+template <class Report>
+void shorten(std::vector<Report>& reports, std::size_t max_count, random_source& random)
+{
+    if (reports.size() <= max_count)
+        return;
+    const auto first = static_cast<std::ptrdiff_t>(random.below(reports.size()));
+    std::rotate(reports.begin(), reports.begin() + first, reports.end());
+    reports.resize(max_count);
+}
+
 // Exponential decay of `value` over `age`.
 double decayed(double value, duration age, duration half_life)
 {
@@ -82,15 +106,14 @@
     const auto found = by_id_.find(entry.id);
     if (found != by_id_.end()) {
         const upstream_entry& old = found->second->entry_;
-        if (old.address == entry.address && old.service == entry.service &&
-            old.incarnation == entry.incarnation) {
+        if (same_lifetime(old, entry)) {
             found->second->entry_ = entry;
             found->second->lapsing_ = false;
             if (entry.cold_remaining > duration::zero())
                 cold_reported(*found->second, entry.cold_remaining, now);
             return;
         }
-        remove(entry.id);
+        remove(entry.id, now);
     }
     const upstream_pointer it{new upstream{entry}};
     it->domain_out_ = domains_out_.contains(entry.domain);
@@ -99,12 +122,42 @@
     // A random initial level, so that the hosts do not all send their first call at once.
     it->cold_tokens_.set_tokens(random_.uniform(), now);
     it->relative_latency_at_ = now;
+    restore_statements(*it, now);
     by_id_.emplace(entry.id, it);
     by_report_key_[report_key(entry)] = it;
     by_service_[entry.service].upstreams.push_back(it);
 }
 
-void upstream_table::remove(const upstream_id& id)
+void upstream_table::restore_statements(upstream& it, time_point now)
+{
+    const auto found = std::find_if(removed_.begin(), removed_.end(), [&](const auto& before) {
+        return same_lifetime(before.of->entry_, it.entry_);
+    });
+    if (found == removed_.end())
+        return;
+    const upstream& before = *found->of;
+    it.stated_leaving_ = before.stated_leaving_;
+    it.paused_until_ = before.paused_until_;
+    it.limit_ = before.limit_;
+    it.limit_stated_at_ = before.limit_stated_at_;
+    it.limit_ended_at_ = before.limit_ended_at_;
+    if (it.limit_.calls_per_second) {
+        it.limit_tokens_.set_tokens(0, now);
+        divide_limit(it, now);
+    }
+    removed_.erase(found);
+}
+
+void upstream_table::keep_statements(const upstream_pointer& it, time_point now)
+{
+    if (it->stated_leaving_ || it->paused_until_ > now || it->limit_.calls_per_second)
+        removed_.push_back({it, now});
+    while (!removed_.empty() && (removed_.size() > max_removed_statements ||
+                                 now - removed_.front().removed_at > removed_statement_time))
+        removed_.pop_front();
+}
+
+void upstream_table::remove(const upstream_id& id, time_point now)
 {
     const auto found = by_id_.find(id);
     if (found == by_id_.end())
@@ -117,6 +170,7 @@
     std::erase(service->second.upstreams, it);
     if (service->second.upstreams.empty())
         by_service_.erase(service);
+    keep_statements(it, now);
 }
 
 void upstream_table::set_lapsing(const upstream_id& id)
@@ -461,18 +515,39 @@
         if (changed != time_point{} && now - changed < limit_report_time)
             out.push_back({key, it->limit_, now - it->limit_stated_at_});
     }
-    // If there are too many, each is sent now and then.
-    if (out.size() > max_limit_reports) {
-        const auto first = static_cast<std::ptrdiff_t>(random_.below(out.size()));
-        std::rotate(out.begin(), out.begin() + first, out.end());
-        out.resize(max_limit_reports);
+    shorten(out, max_limit_reports, random_);
+    return out;
+}
+
+std::vector<lifetime_key> upstream_table::leaving_reports(time_point now)
+{
+    std::vector<lifetime_key> out;
+    for (const auto& [id, it] : by_id_) {
+        if (it->stated_leaving_)
+            out.push_back(key_of(it->entry_));
     }
+    for (const auto& [it, removed_at] : removed_) {
+        if (it->stated_leaving_ && now - removed_at < limit_report_time)
+            out.push_back(key_of(it->entry_));
+    }
+    shorten(out, max_leaving_reports, random_);
     return out;
 }
 
+upstream_pointer upstream_table::find_lifetime(lifetime_key key) const
+{
+    const upstream_pointer out = find_reported(static_cast<std::uint32_t>(key));
+    return out && key_of(out->entry_) == key ? out : nullptr;
+}
+
+lifetime_key upstream_table::key_of(const upstream_entry& entry)
+{
+    return stable_hash(entry.id.value(), entry.incarnation);
+}
+
 std::uint32_t upstream_table::report_key(const upstream_entry& entry)
 {
-    return static_cast<std::uint32_t>(stable_hash(entry.id.value(), entry.incarnation));
+    return static_cast<std::uint32_t>(key_of(entry));
 }
 
 upstream_pointer upstream_table::find_reported(std::uint32_t key) const
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -15,6 +15,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <set>
 #include <span>
@@ -87,7 +88,10 @@
     /// False after the entry was removed, or replaced after a restart of the upstream.
     [[nodiscard]] bool listed() const { return listed_; }
     /// May get calls at all.
-    [[nodiscard]] bool usable() const { return listed_ && !entry_.leaving && !domain_out_; }
+    [[nodiscard]] bool usable() const
+    {
+        return listed_ && !entry_.leaving && !stated_leaving_ && !domain_out_;
+    }
     /// The registration has disappeared and may come back soon.
     [[nodiscard]] bool lapsing() const { return lapsing_; }
     /// Calls of this host in progress.
@@ -142,6 +146,9 @@
 
 using upstream_pointer = boost::intrusive_ptr<upstream>;
 
+/// Hash of an upstream's id and incarnation; the same on all hosts.
+using lifetime_key = std::uint64_t;
+
 /// All known upstreams. Not thread-safe.
 class upstream_table
 {
@@ -152,7 +159,7 @@
     /// Adds or updates an entry. Another incarnation, address or service under the same id
     /// discards what was observed before.
     void upsert(const upstream_entry& entry, time_point now);
-    void remove(const upstream_id& id);
+    void remove(const upstream_id& id, time_point now);
     /// From now on, until the next upsert(), the upstream gets calls only if no other can
     /// take them.
     void set_lapsing(const upstream_id& id);
@@ -213,7 +220,13 @@
     void pause_stated(upstream& it, time_point until);
     /// The limits that are in force and those that have ended recently, for other hosts.
     [[nodiscard]] std::vector<limit_report> limit_reports(time_point now);
-    /// Short name of an upstream and its incarnation in limit reports.
+    /// Lifetimes of upstreams that have stated that they are leaving, for other hosts.
+    [[nodiscard]] std::vector<lifetime_key> leaving_reports(time_point now);
+    /// Null if this host does not know the lifetime.
+    [[nodiscard]] upstream_pointer find_lifetime(lifetime_key key) const;
+    /// Name of an upstream and its incarnation among the hosts.
+    [[nodiscard]] static lifetime_key key_of(const upstream_entry& entry);
+    /// The same in limit reports, shortened.
     [[nodiscard]] static std::uint32_t report_key(const upstream_entry& entry);
     /// Null if this host does not know the upstream or knows another incarnation of it.
     [[nodiscard]] upstream_pointer find_reported(std::uint32_t key) const;
@@ -223,6 +236,12 @@
     void cold_reported(upstream& it, duration remaining, time_point now);
 
 private:
+    struct removed_upstream
+    {
+        upstream_pointer of;
+        time_point removed_at;
+    };
+
     struct service_state
     {
         std::vector<upstream_pointer> upstreams;
@@ -230,6 +249,10 @@
         duration run_time{};
     };
 
+    // Takes over what the same lifetime has stated before its entry was removed.
+    void restore_statements(upstream& it, time_point now);
+    // Remembers what `it` has stated, because its entry may return.
+    void keep_statements(const upstream_pointer& it, time_point now);
     // Moving average of the relative latency, decayed towards 1.
     [[nodiscard]] static double decayed_relative_latency(const upstream& it, time_point now);
     // Moving average of the reported load, decayed towards 0.
@@ -263,6 +286,8 @@
     std::unordered_map<std::uint32_t, upstream_pointer> by_report_key_;
     // Same entries as by_id_.
     std::unordered_map<service_name, service_state> by_service_;
+    // Upstreams without an entry that have stated something about themselves, oldest first.
+    std::deque<removed_upstream> removed_;
     // Calls per second of all hosts to each cold upstream of a service; positive.
     std::unordered_map<service_name, double> cold_rates_;
     std::uint64_t calls_to_limited_ = 0;
--- a/tests/auto/peers/tst_peertable.cpp
+++ b/tests/auto/peers/tst_peertable.cpp
@@ -215,6 +215,8 @@
     cr_assert(decode_peer_message(encode_peer_message(message)) == message);
     message.limits = {{1, {38.125}, 250ms}, {2, {}, 0ms}};
     cr_assert(decode_peer_message(encode_peer_message(message)) == message);
+    message.leaving_upstreams = {3, std::numeric_limits<std::uint64_t>::max()};
+    cr_assert(decode_peer_message(encode_peer_message(message)) == message);
     message.limits[0].limit = {std::numeric_limits<double>::quiet_NaN()};
     cr_assert(!decode_peer_message(encode_peer_message(message)));
     cr_assert(!decode_peer_message("\xff\xff\xff"));
--- a/tests/auto/upstreams/tst_upstreamtable.cpp
+++ b/tests/auto/upstreams/tst_upstreamtable.cpp
@@ -160,7 +160,7 @@
     f.add("b");
     f.table.set_lapsing(upstream_id{"a"});
     cr_assert(!f.choices().contains("a"));
-    f.table.remove(upstream_id{"b"});
+    f.table.remove(upstream_id{"b"}, f.now);
     cr_assert(f.choices().contains("a"));
 }
 
@@ -441,6 +441,84 @@
     // Without another upstream, first calls use it too.
     f.call("a", call_result::replied);
     f.call("a", call_result::replied);
-    f.table.remove(upstream_id{"b"});
+    f.table.remove(upstream_id{"b"}, f.now);
     cr_assert(f.table.choose(service, {}, f.now) != nullptr);
 }
+
+// Guards against calls to an upstream that has stated that it is leaving, as a hedge or as a last
+// resort too, because an entry says ready, or says so again after it was missing.
+Test(upstream_table, stated_leaving_holds_whatever_the_entry_says)
+{
+    table_fixture f;
+    f.add("a");
+    const upstream_entry entry = f.at("a").entry();
+    f.table.leaving_stated(f.at("a"));
+    const auto gets_no_calls = [&] {
+        return !f.table.choose(service, {}, f.now) && !f.table.has_usable(service) &&
+               !f.table.has_free_slot(service, {}, f.now) && f.table.leaving_count() == 1;
+    };
+    cr_assert(gets_no_calls());
+    f.table.upsert(entry, f.now);
+    cr_assert(gets_no_calls());
+    f.table.set_lapsing(entry.id);
+    f.table.upsert(entry, f.now);
+    cr_assert(gets_no_calls());
+    f.table.remove(entry.id, f.now);
+    f.now += 59min;
+    f.table.upsert(entry, f.now);
+    cr_assert(gets_no_calls());
+    // Another start, and back again to an entry of the earlier one.
+    auto restarted = entry;
+    restarted.incarnation = 7;
+    f.table.upsert(restarted, f.now);
+    cr_assert(f.choices(5)["a"] == 5 && f.table.leaving_count() == 0);
+    f.table.upsert(entry, f.now);
+    cr_assert(gets_no_calls());
+}
+
+// Guards against statements that are not passed on, are passed on for ever, are lost if there are
+// many, or are taken for those of another incarnation.
+Test(upstream_table, hosts_tell_each_other_which_upstreams_leave)
+{
+    table_fixture told;
+    table_fixture telling;
+    const auto tell = [&] {
+        std::size_t out = 0;
+        for (const lifetime_key it : telling.table.leaving_reports(told.now)) {
+            ++out;
+            if (const auto of = told.table.find_lifetime(it))
+                told.table.leaving_stated(*of);
+        }
+        return out;
+    };
+    for (int it = 0; it < 100; ++it) {
+        told.add("u" + std::to_string(it));
+        telling.add("u" + std::to_string(it));
+        telling.table.leaving_stated(telling.at("u" + std::to_string(it)));
+    }
+    auto restarted = told.at("u7").entry();
+    restarted.incarnation = 7;
+    told.table.upsert(restarted, told.now);
+    for (int it = 0; it < 40; ++it)
+        cr_assert(tell() <= 32);
+    cr_assert(told.table.leaving_count() == 99 && told.at("u7").usable());
+    for (const upstream_id& it : telling.table.ids())
+        telling.table.remove(it, told.now);
+    cr_assert(tell() == 32);
+    told.now += 31s;
+    cr_assert(tell() == 0);
+}
+
+// Guards against a limit that is forgotten because the entry of its upstream was missing for a
+// while.
+Test(upstream_table, limit_holds_after_the_entry_was_missing)
+{
+    table_fixture f;
+    f.add("a");
+    const upstream_entry entry = f.at("a").entry();
+    f.table.limit_stated(f.at("a"), {0.0}, f.now, f.now);
+    f.table.remove(entry.id, f.now);
+    f.now += 100ms;
+    f.table.upsert(entry, f.now);
+    cr_assert(f.choices(5)["a"] == 0 && f.table.limited_count() == 1);
+}
