upstreams, gateway: no calls within a pause that an upstream asks for

An upstream that refuses a request may ask the host for a pause. It got further calls: after the backoff of 200 ms to 1.6 s, and at once if no other replica was left.

Change: the pause is part of the time of the next call, so first calls, hedges, retries, the last resort and calls that wait for a connection keep it. The latest end counts; another start of the upstream ends it.

Ruled out: sharing pauses between hosts (the upstream asks each one by itself), and naming the rest of a long pause to callers (another host may serve them).

--- a/src/libs/gateway/callerrequest.cpp
+++ b/src/libs/gateway/callerrequest.cpp
@@ -76,8 +76,9 @@
     plan.bodyless_reply = exchange_.request().method == "HEAD";
     plan.encode = [self = caller_request_pointer{this}, to = action.to, deadline]() -> std::string {
         // The upstream may have become unusable while the call waited for a connection.
-        const duration left = deadline - self->context_.timers.now();
-        if (left <= duration::zero() || !to->usable())
+        const time_point now = self->context_.timers.now();
+        const duration left = deadline - now;
+        if (left <= duration::zero() || !to->accepts_calls(now))
             return {};
         return platform::encode_call(self->exchange_.request(), to->entry().id, left);
     };
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -319,13 +319,14 @@
 {
     if (!routes_)
         return;
+    const time_point now = timers_.now();
     std::size_t opened = 0;
     for (const service_policy& it : routes_->configuration().services) {
         if (!routes_->references(it.name))
             continue;
         for (const upstream_pointer& to : upstreams_.of_service(it.name)) {
-            if (opened < gateway_constants::max_connections_warmed_per_heartbeat && to->usable() &&
-                !to->lapsing() && pool_.warm(to))
+            if (opened < gateway_constants::max_connections_warmed_per_heartbeat &&
+                to->accepts_calls(now) && !to->lapsing() && pool_.warm(to))
                 ++opened;
         }
     }
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -369,7 +369,7 @@
         out = std::min(it.cold_tokens_.available_at(now), it.cold_until_);
     if (it.limit_.calls_per_second)
         out = std::max(out, it.limit_tokens_.available_at(now));
-    return out;
+    return std::max(out, it.paused_until_);
 }
 
 bool upstream_table::may_call(const upstream& it, time_point now) const
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -92,6 +92,11 @@
     {
         return listed_ && !entry_.leaving && !stated_leaving_ && !domain_out_;
     }
+    /// May get calls now.
+    [[nodiscard]] bool accepts_calls(time_point now) const
+    {
+        return usable() && paused_until_ <= now;
+    }
     /// The registration has disappeared and may come back soon.
     [[nodiscard]] bool lapsing() const { return lapsing_; }
     /// Calls of this host in progress.
--- a/tests/auto/upstreams/tst_upstreamtable.cpp
+++ b/tests/auto/upstreams/tst_upstreamtable.cpp
@@ -522,3 +522,35 @@
     f.table.upsert(entry, f.now);
     cr_assert(f.choices(5)["a"] == 0 && f.table.limited_count() == 1);
 }
+
+// Guards against calls to an upstream within a pause that it has asked this host for, as a hedge or
+// as a last resort too, because a later refusal asks for a shorter one or because its entry was
+// missing; and against a pause that outlives the incarnation that asked for it.
+Test(upstream_table, paused_upstream_gets_no_calls_until_the_end)
+{
+    table_fixture f;
+    f.add("a");
+    const upstream_entry entry = f.at("a").entry();
+    f.table.pause_stated(f.at("a"), f.now + 10s);
+    f.table.pause_stated(f.at("a"), f.now + 1s);
+    const auto gets_no_calls = [&] {
+        return !f.table.choose(service, {}, f.now) && !f.table.has_free_slot(service, {}, f.now) &&
+               !f.at("a").accepts_calls(f.now) && f.table.paused_count(f.now) == 1;
+    };
+    cr_assert(gets_no_calls());
+    cr_assert(f.table.next_call_at(service, f.now) == f.now + 10s);
+    f.now += 5s;
+    f.table.upsert(entry, f.now);
+    cr_assert(gets_no_calls());
+    f.table.remove(entry.id, f.now);
+    f.table.upsert(entry, f.now);
+    f.now += 4999ms;
+    cr_assert(gets_no_calls());
+    f.now += 1ms;
+    cr_assert(f.choices(5)["a"] == 5 && f.table.paused_count(f.now) == 0);
+    f.table.pause_stated(f.at("a"), f.now + 10s);
+    auto restarted = entry;
+    restarted.incarnation = 7;
+    f.table.upsert(restarted, f.now);
+    cr_assert(f.choices(5)["a"] == 5);
+}
