platform, gateway: an unreadable object affects only itself

Callers saw 200 while new upstreams got nothing and leaving ones got requests until they exited, and then 503; or all hosts ended, again after each start.

Cause: a reply of the store was parsed as one text. The library rejects a text for one number beyond a double, one number of 400 digits, one lone surrogate or one byte that is no UTF-8, so a list or watch with such an object never succeeded; and it writes a value by recursion, so that 50,000 levels of nesting overflowed the stack. The class: input of one writer decides about the input of all.

Change: src/libs/jsontext splits a text by its brackets without decoding it, and parses a value only up to 64 levels. An object keeps its name and the reason why its content cannot be read; without a readable name it is skipped. Unreadable objects are logged once a revision and counted. Entries are checked further: 32 bit slots, times that would overflow the clock, addresses that are no IP number, names that cannot be sent in a header field; the same for records of hosts. Names in the path of a list are percent-encoded.

Ruled out: RapidJSON and simdjson, which reject a whole text for a lone surrogate or for invalid UTF-8; a depth limit alone, which leaves the frozen state.

--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -240,6 +240,8 @@
         return;
     }
     on_success();
+    if (page->skipped > 0)
+        handlers_.objects_skipped(collection_, page->skipped);
     // Another host has passed on the collection meanwhile.
     if (!needs_list_) {
         start_next_call();
@@ -337,6 +339,8 @@
     }
     last_watch_had_gap_ = false;
     gap_waited_ = false;
+    if (page->skipped > 0)
+        handlers_.objects_skipped(collection_, page->skipped);
     page->epoch = epoch;
     const auto changed = copy_.apply(*page);
     if (!changed.empty())
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -38,6 +38,10 @@
     std::function<void(platform::store_collection, std::uint64_t list_revision)> list_ignored =
         [](auto, auto) {
         };
+    /// A reply contained objects whose name or revision cannot be read; they are ignored.
+    std::function<void(platform::store_collection, std::size_t count)> objects_skipped = [](auto,
+                                                                                            auto) {
+    };
     /// A `list` or `watch` call is about to be sent.
     std::function<void(platform::store_collection, std::string_view call, platform::freshness)>
         call_started;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -79,7 +79,7 @@
               on_reply_reported(from, reply);
           },
           [this](const upstream_pointer& by) { on_leaving_stated(by, "reply"); }),
-      upstream_updater_(upstreams_, timers, log),
+      upstream_updater_(upstreams_, timers, log, metrics_),
       configuration_watch_(loop, timers, settings.store, store_collection::configuration,
                            {gateway_constants::configuration_pause, platform::freshness::stale_ok},
                            handlers_for([this](const auto& items, bool /*is_full_list*/) {
@@ -162,6 +162,12 @@
                 log_.write(log_level::warning, "list_ignored",
                            {{"collection", to_string(collection)}, {"revision", list_revision}});
             },
+            [this](store_collection collection, std::size_t count) {
+                metrics_.objects_unreadable(to_string(collection), count);
+                log_.write(log_level::warning, "objects_skipped",
+                           {{"collection", to_string(collection)},
+                            {"count", static_cast<std::uint64_t>(count)}});
+            },
             [this](store_collection collection, std::string_view call, platform::freshness needed) {
                 log_.write(log_level::debug, "store_call",
                            {{"collection", to_string(collection)},
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -64,10 +64,12 @@
             continue;
         auto decoded = platform::decode_configuration(it.content);
         if (const auto* failure = std::get_if<platform::decode_error>(&decoded)) {
+            const std::string& reason = it.problem.empty() ? failure->message : it.problem;
+            metrics_.objects_unreadable(to_string(store_collection::configuration), 1);
             log_.write(log_level::error, "configuration_unreadable",
                        {{"object", it.name},
                         {"revision", it.revision},
-                        {"error", std::string_view{failure->message}}});
+                        {"error", std::string_view{reason}}});
             continue;
         }
         auto& config = std::get<routing_configuration>(decoded);
@@ -119,7 +121,9 @@
         }
         const auto record = decode_host_record(it.name, it.content);
         if (!record) {
-            log_.write(log_level::warning, "host_record_unreadable", {{"host", it.name}});
+            metrics_.objects_unreadable(to_string(store_collection::hosts), 1);
+            log_.write(log_level::warning, "host_record_unreadable",
+                       {{"host", it.name}, {"error", std::string_view{it.problem}}});
             continue;
         }
         present.insert(id);
--- a/src/libs/gateway/storesnapshot.cpp
+++ b/src/libs/gateway/storesnapshot.cpp
@@ -26,13 +26,16 @@
     json out{{"name", it.name}, {"revision", it.revision}, {"content", it.content}};
     if (it.deleted)
         out["deleted"] = true;
+    if (!it.problem.empty())
+        out["problem"] = it.problem;
     return out;
 }
 
 platform::stored_item decode_item(const json& node)
 {
     return {node.at("name").get<std::string>(), node.at("revision").get<std::uint64_t>(),
-            node.value("deleted", false), node.at("content").get<std::string>()};
+            node.value("deleted", false), node.at("content").get<std::string>(),
+            node.value("problem", "")};
 }
 
 void encode(json& into, std::string_view key, const std::optional<collection_update>& update)
--- a/src/libs/gateway/upstreamtableupdater.cpp
+++ b/src/libs/gateway/upstreamtableupdater.cpp
@@ -8,8 +8,9 @@
 namespace ebonywick {
 
 upstream_table_updater::upstream_table_updater(upstream_table& table, timer_queue& timers,
-                                               event_loop_logger& log)
-    : table_(table), timers_(timers), log_(log), removal_timer_(timers, [this] { remove_lapsed(); })
+                                               event_loop_logger& log, gateway_metrics& metrics)
+    : table_(table), timers_(timers), log_(log), metrics_(metrics),
+      removal_timer_(timers, [this] { remove_lapsed(); })
 {
 }
 
@@ -20,6 +21,7 @@
         present.insert(upstream_id{it.name});
         apply(it);
     }
+    std::erase_if(unreadable_, [&](const auto& it) { return !present.contains(it.first); });
     for (const upstream_id& it : table_.ids()) {
         if (!present.contains(it))
             mark_lapsing(it);
@@ -50,20 +52,20 @@
 {
     const upstream_id id{item.name};
     if (item.deleted) {
+        unreadable_.erase(id);
         mark_lapsing(id);
         return;
     }
+    if (!item.problem.empty()) {
+        on_unreadable(item, item.problem);
+        return;
+    }
     const auto decoded = platform::decode_upstream(item.name, item.content);
     if (const auto* failure = std::get_if<platform::decode_error>(&decoded)) {
-        // The upstream may no longer be as its earlier entry said, so the entry counts as
-        // removed.
-        log_.write(log_level::warning, "upstream_entry_unreadable",
-                   {{"upstream", item.name},
-                    {"revision", item.revision},
-                    {"error", std::string_view{failure->message}}});
-        mark_lapsing(id);
+        on_unreadable(item, failure->message);
         return;
     }
+    unreadable_.erase(id);
     const auto& entry = std::get<upstream_entry>(decoded);
     removal_times_.erase(id);
     const upstream_pointer known = table_.find(id);
@@ -80,6 +82,20 @@
     table_.upsert(entry, timers_.now());
 }
 
+void upstream_table_updater::on_unreadable(const platform::stored_item& item,
+                                           std::string_view reason)
+{
+    const upstream_id id{item.name};
+    const auto [logged, is_new] = unreadable_.emplace(id, item.revision);
+    if (is_new || logged->second != item.revision) {
+        logged->second = item.revision;
+        metrics_.objects_unreadable(to_string(platform::store_collection::upstreams), 1);
+        log_.write(log_level::warning, "upstream_entry_unreadable",
+                   {{"upstream", item.name}, {"revision", item.revision}, {"error", reason}});
+    }
+    mark_lapsing(id);
+}
+
 void upstream_table_updater::mark_lapsing(const upstream_id& id)
 {
     const upstream_pointer known = table_.find(id);
--- a/src/libs/gateway/upstreamtableupdater.h
+++ b/src/libs/gateway/upstreamtableupdater.h
@@ -3,6 +3,7 @@
 
 #include "gateway/timerqueue.h"
 #include "logging/eventlooplogger.h"
+#include "metrics/gatewaymetrics.h"
 #include "platform/storecodec.h"
 #include "upstreams/upstreamtable.h"
 
@@ -16,7 +17,8 @@
 class upstream_table_updater
 {
 public:
-    upstream_table_updater(upstream_table& table, timer_queue& timers, event_loop_logger& log);
+    upstream_table_updater(upstream_table& table, timer_queue& timers, event_loop_logger& log,
+                           gateway_metrics& metrics);
 
     /// The complete collection; upstreams that are not in it have disappeared.
     void on_listed(const std::vector<platform::stored_item>& items);
@@ -26,12 +28,17 @@
 
 private:
     void apply(const platform::stored_item& item);
+    // The upstream may no longer be as its earlier entry said, so the entry counts as removed.
+    void on_unreadable(const platform::stored_item& item, std::string_view reason);
     void mark_lapsing(const upstream_id& id);
     void remove_lapsed();
 
     upstream_table& table_;
     timer_queue& timers_;
     event_loop_logger& log_;
+    gateway_metrics& metrics_;
+    // Revisions of unreadable entries that have been logged.
+    std::map<upstream_id, std::uint64_t> unreadable_;
     // When upstreams whose entries have disappeared are removed from the table.
     std::map<upstream_id, time_point> removal_times_;
     loop_timer removal_timer_;
--- a/src/libs/metrics/gatewaymetrics.cpp
+++ b/src/libs/metrics/gatewaymetrics.cpp
@@ -58,6 +58,11 @@
                                                    .Name("ebonywick_gateway_store_calls_total")
                                                    .Help("Calls to the platform's store")
                                                    .Register(registry);
+    prometheus::Family<Counter>& unreadable_objects =
+        prometheus::BuildCounter()
+            .Name("ebonywick_gateway_unreadable_objects_total")
+            .Help("Objects of the store that were ignored because they cannot be read")
+            .Register(registry);
     Counter& store_restorations =
         prometheus::BuildCounter()
             .Name("ebonywick_gateway_store_restorations_total")
@@ -116,6 +121,12 @@
     state_->store_calls.Add({{"outcome", std::string{outcome}}}).Increment();
 }
 
+void gateway_metrics::objects_unreadable(std::string_view collection, std::size_t count)
+{
+    state_->unreadable_objects.Add({{"collection", std::string{collection}}})
+        .Increment(static_cast<double>(count));
+}
+
 void gateway_metrics::store_restored()
 {
     state_->store_restorations.Increment();
--- a/src/libs/metrics/gatewaymetrics.h
+++ b/src/libs/metrics/gatewaymetrics.h
@@ -29,6 +29,8 @@
     /// An answer left out `count` shards.
     void shards_missing(std::size_t count);
     void store_call(std::string_view outcome);
+    /// Objects of a collection of the store were ignored because they cannot be read.
+    void objects_unreadable(std::string_view collection, std::size_t count);
     /// A reply has shown that the store was restored from an older copy.
     void store_restored();
 
--- a/src/libs/peers/hostrecord.cpp
+++ b/src/libs/peers/hostrecord.cpp
@@ -2,6 +2,7 @@
 #include "peers/hostrecord.h"
 
 #include "base/hashing.h"
+#include "jsontext/jsontext.h"
 #include "wire/ebonywick.pb.h"
 
 #include <nlohmann/json.hpp>
@@ -23,6 +24,9 @@
 // Keeps an encoded age within 32 bits. Such an old entry counts as silent in any case.
 constexpr std::int64_t max_age_ms = 100'000;
 
+// More cores than a host has; an entry with a larger number is not of a host.
+constexpr double max_processor_share = 1024;
+
 // EntryHeartbeat.limit_rate of an upstream without a limit.
 constexpr double no_limit_rate = -1.0;
 
@@ -74,23 +78,22 @@
 
 std::optional<host_record> decode_host_record(const std::string& name, std::string_view content)
 {
-    const auto document = nlohmann::json::parse(content, nullptr, false);
-    if (!document.is_object())
-        return std::nullopt;
     try {
+        const auto document = parse_json(content);
         const auto callers = parse_endpoint(document.at("callers").get<std::string>());
         const auto heartbeats = parse_endpoint(document.at("heartbeats").get<std::string>());
         const auto control = parse_endpoint(document.at("control").get<std::string>());
-        if (!callers || !heartbeats || !control)
+        const auto& incarnation = document.at("incarnation");
+        const auto processor_share = document.at("processor_share").get<double>();
+        if (!callers || !heartbeats || !control || !incarnation.is_number_unsigned() ||
+            !(processor_share > 0 && processor_share <= max_processor_share))
             return std::nullopt;
-        return host_record{host_id{name},
-                           document.at("incarnation").get<incarnation_number>(),
-                           *callers,
-                           *heartbeats,
-                           *control,
-                           failure_domain_id{document.at("failure_domain").get<std::string>()},
-                           document.at("processor_share").get<double>()};
-    } catch (const nlohmann::json::exception&) {
+        return host_record{
+            host_id{name},  incarnation.get<incarnation_number>(),
+            *callers,       *heartbeats,
+            *control,       failure_domain_id{document.at("failure_domain").get<std::string>()},
+            processor_share};
+    } catch (const std::exception&) {
         return std::nullopt;
     }
 }
--- a/tests/auto/platform/tst_storecodec.cpp
+++ b/tests/auto/platform/tst_storecodec.cpp
@@ -51,6 +51,18 @@
     cr_assert(unreadable(replaced(entry_text, "\"slots\":4", "\"slots\":-4")));
     cr_assert(unreadable(replaced(entry_text, "1790244877088", "17.5")));
     cr_assert(unreadable(replaced(entry_text, "1790244877088", "\"x\"")));
+    for (const char* address : {"10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9", "a:80",
+                                "10.0.0.256:80", ":80", "10.0.0.9:80 "})
+        cr_assert(unreadable(replaced(entry_text, "10.0.0.9:8080", address)), "%s", address);
+    for (const char* slots : {"4294967296", "99999999999999999999", "1e400", "4.5"})
+        cr_assert(
+            unreadable(replaced(entry_text, "\"slots\":4", std::string{"\"slots\":"} + slots)));
+    cr_assert(unreadable(replaced(entry_text, "1200", "-1")));
+    const auto cold = decode_upstream("i-1", replaced(entry_text, "1200", "1e300"));
+    cr_assert(std::get<upstream_entry>(cold).cold_remaining == 30 * 24h);
+    // The name is sent in a header field.
+    for (const char* name : {"", "a b", "a\r\nX-Deadline-Ms: 9", "\xc3\xa4", "a\x7f"})
+        cr_assert(std::holds_alternative<decode_error>(decode_upstream(name, entry_text)));
 }
 
 // Failure: one unexpected object makes the other objects of its page unreadable.
@@ -67,6 +79,38 @@
     cr_assert(page.items[2].content.empty());
 }
 
+// Failure: one object that cannot be read hides the others of its page, ends the process, or is
+// taken for a deletion.
+Test(store_codec, unreadable_objects_do_not_affect_others)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const std::string& content :
+         {deep, "{\"a\":" + deep + "}", std::string{"1e400"}, std::string(400, '9'),
+          std::string{R"("\udcff")"}, std::string{"\"\xff\""}, std::string{"nonsense"}}) {
+        const std::string odd = R"({"meta":{"name":"b","revision":4},"spec":)" + content + "}";
+        const std::string others = R"({"meta":{"name":"a","revision":3},"spec":{"x":1}})";
+        const auto list = decode_list("{\"items\":[" + odd + "," + others + "," + odd +
+                                      "],\"has_more\":false,\"at\":9}");
+        const auto& page = std::get<collection_page>(list);
+        cr_assert(page.items.size() == 3 && page.skipped == 0 && page.revision == 9);
+        cr_assert(page.items[1].content == R"({"x":1})" && page.items[1].problem.empty());
+        for (const std::size_t it : {0U, 2U})
+            cr_assert(page.items[it].name == "b" && page.items[it].content.empty() &&
+                      !page.items[it].problem.empty() && page.items[it].problem.size() < 100);
+        const auto events =
+            decode_events("{\"events\":[{\"object\":" + odd +
+                          "},{\"deleted\":true,\"object\":" + others + "}],\"at\":9}");
+        const auto& changes = std::get<collection_page>(events);
+        cr_assert(changes.items.size() == 2 && !changes.items[0].deleted &&
+                  changes.items[1].deleted);
+    }
+    const auto nameless =
+        decode_list(R"({"items":[{"meta":{"name":"\ud800"}},7,{"meta":{"name":"a","revision":-1}},)"
+                    R"({"meta":{"name":"c"}}],"at":9})");
+    cr_assert(std::get<collection_page>(nameless).items.size() == 1);
+    cr_assert(std::get<collection_page>(nameless).skipped == 3);
+}
+
 // Failure: a deletion is decoded as a change.
 Test(store_codec, events)
 {
@@ -117,6 +161,8 @@
                   .starts_with("GET /ebonywick/objects/servers HTTP/1.1\r\n"));
     cr_assert(encode_list(store_collection::upstreams, "i-1", freshness::stale_ok, store)
                   .starts_with("GET /ebonywick/objects/servers?after=i-1&stale_ok=1 HTTP/1.1\r\n"));
+    cr_assert(encode_list(store_collection::upstreams, "a&b =\r\n%", freshness::newest, store)
+                  .starts_with("GET /ebonywick/objects/servers?after=a%26b%20%3D%0D%0A%25 HTTP"));
     cr_assert(encode_watch(store_collection::configuration, 5, 30s, freshness::newest, store)
                   .starts_with("GET /ebonywick/objects/config?watch=5&wait_ms=30000 HTTP/1.1\r\n"));
     const auto created = encode_write(store_collection::hosts, "a", "{}", true, store);
--- a/tests/standins/platform/platformstore.cpp
+++ b/tests/standins/platform/platformstore.cpp
@@ -51,7 +51,12 @@
 
 void platform_store::answer(http_exchange& exchange, int status, const json& body) const
 {
-    const std::string text = body.dump();
+    std::string text = body.dump();
+    for (const auto& [placeholder, content] : raw_) {
+        for (std::size_t at = text.find(placeholder); at != std::string::npos;
+             at = text.find(placeholder, at + content.size()))
+            text.replace(at, placeholder.size(), content);
+    }
     exchange.answer(fmt::format("HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
                                 "Store-Era: {}\r\nContent-Length: {}\r\n\r\n{}",
                                 status, reason_phrase(status), epoch_, text.size(), text),
@@ -203,6 +208,14 @@
     return revision_;
 }
 
+std::uint64_t platform_store::put_raw(const std::string& kind, const std::string& name,
+                                      std::string content)
+{
+    const std::string placeholder = fmt::format("raw content {}", raw_.size());
+    raw_[json(placeholder).dump()] = std::move(content);
+    return put(kind, name, placeholder);
+}
+
 void platform_store::remove(const std::string& kind, const std::string& name)
 {
     auto& objects = kinds_[kind];
--- a/tests/standins/platform/platformstore.h
+++ b/tests/standins/platform/platformstore.h
@@ -50,6 +50,8 @@
 
     /// Writes an object as an operator or an upstream does; returns its revision.
     std::uint64_t put(const std::string& kind, const std::string& name, nlohmann::json content);
+    /// Writes an object whose content is this text, which need not be valid JSON.
+    std::uint64_t put_raw(const std::string& kind, const std::string& name, std::string content);
     void remove(const std::string& kind, const std::string& name);
     void set_faults(const store_faults& faults) { faults_ = faults; }
     /// Drops the history, so that watches from older revisions are refused with 410.
@@ -105,6 +107,8 @@
     std::uint64_t history_begin_ = 1;
     std::deque<change> history_;
     store_objects kinds_;
+    // Contents that replace their placeholders in the text of answers.
+    std::map<std::string, std::string> raw_;
     // Begins at 1 and rises with each restoration.
     std::uint64_t epoch_ = 1;
     std::list<std::unique_ptr<watcher>> watchers_;
