store, operatorclient: unreadable entries of hosts affect only themselves

The same cause as in the gateway, in serve's client of the store and in the operator's commands: the list of hosts was parsed as one text, so one number beyond a double, a lone surrogate or invalid UTF-8 in an entry made it unavailable; a status reply with 200,000 levels ended the command.

Change: both use jsontext. Not affected: the configuration and the roster, each one object that is written by this project's commands and is not copied or written back; order records, likewise; the upstreams' replies (jsonscan bounds its depth).

Measured: list_hosts_skips_entries_that_are_no_json fails before and passes now; deeply_nested_reply_is_no_status crashes before and passes now.

--- a/src/libs/operatorclient/hoststatus.cpp
+++ b/src/libs/operatorclient/hoststatus.cpp
@@ -1,11 +1,14 @@
 // Parses the status replies of hosts and evaluates them for the operator.
 #include "operatorclient/hoststatus.h"
 
+#include "jsontext/jsontext.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <map>
+#include <stdexcept>
 #include <tuple>
 
 namespace ebonywick {
@@ -34,7 +37,12 @@
 
 std::optional<host_report> parse_status(const std::string& text)
 {
-    const auto node = json::parse(text, nullptr, false);
+    json node;
+    try {
+        node = parse_json(text);
+    } catch (const std::invalid_argument&) {
+        return std::nullopt;
+    }
     if (!node.is_object() || read_text(node, "host").empty())
         return std::nullopt;
     host_report out;
--- a/src/libs/store/objectstoreclient.cpp
+++ b/src/libs/store/objectstoreclient.cpp
@@ -1,6 +1,7 @@
 // Maps the operations of the object store to HTTP requests, and HTTP replies to results.
 #include "store/objectstoreclient.h"
 
+#include "jsontext/jsontext.h"
 #include "store/connectionpool.h"
 
 #include <fmt/format.h>
@@ -9,7 +10,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <exception>
 #include <mutex>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -97,25 +100,34 @@
     return put_unconfirmed{};
 }
 
+// Nothing if the text is no valid entry of the list.
+std::optional<listed_host> parse_host(std::string_view text)
+{
+    try {
+        const auto node = parse_json(text);
+        const auto address = parse_endpoint(node.at("control").get<std::string>());
+        if (!address)
+            return std::nullopt;
+        const auto leaving = node.find("leaving");
+        const bool is_leaving =
+            leaving != node.end() && leaving->is_boolean() && leaving->get<bool>();
+        return listed_host{host_id{node.at("id").get<std::string>()}, *address, is_leaving};
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
 result<std::vector<listed_host>> parse_hosts(const std::string& text)
 {
-    const auto document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_object() || !document.contains("hosts") || !document["hosts"].is_array())
+    const auto document = split_json_object(text);
+    const auto entries =
+        document ? split_json_array(find_json_member(*document, "hosts")) : std::nullopt;
+    if (!entries)
         return leaf::new_error(store_unavailable("GET /hosts", "the reply is no list of hosts"));
     std::vector<listed_host> hosts;
-    for (const auto& it : document["hosts"]) {
-        if (!it.is_object() || !it.contains("id") || !it["id"].is_string())
-            continue;
-        const auto control = it.find("control");
-        if (control == it.end() || !control->is_string())
-            continue;
-        const auto address = parse_endpoint(control->get<std::string>());
-        if (!address)
-            continue;
-        const auto leaving = it.find("leaving");
-        const bool is_leaving =
-            leaving != it.end() && leaving->is_boolean() && leaving->get<bool>();
-        hosts.push_back({host_id{it["id"].get<std::string>()}, *address, is_leaving});
+    for (const std::string_view it : *entries) {
+        if (auto host = parse_host(it))
+            hosts.push_back(*std::move(host));
     }
     return hosts;
 }
--- a/tests/auto/operatorclient/tst_hoststatus.cpp
+++ b/tests/auto/operatorclient/tst_hoststatus.cpp
@@ -57,3 +57,11 @@
         cr_assert(!parse_status(text).has_value());
     cr_assert_eq(parse_status(R"({"host":"a","config_version":-1})")->config_version, 0U);
 }
+
+// Guards against a status reply that ends the operator's command by its nesting.
+Test(host_status, deeply_nested_reply_is_no_status)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    cr_assert(!parse_status(R"({"host":"a","incarnation":)" + deep + "}"));
+    cr_assert(parse_status(R"({"host":"a","incarnation":7})").has_value());
+}
--- a/tests/auto/store/tst_objectstoreclient.cpp
+++ b/tests/auto/store/tst_objectstoreclient.cpp
@@ -256,6 +256,28 @@
     cr_assert(hosts[1] == (listed_host{host_id{"b"}, endpoint{"10.0.0.2", 7}, true}));
 }
 
+// Guards against losing the whole list of hosts over one entry that the JSON library rejects or
+// that is nested so deeply that it ends the process.
+Test(object_store_client, list_hosts_skips_entries_that_are_no_json, .timeout = 60)
+{
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    for (const std::string& odd :
+         {deep, "{\"id\":" + deep + "}", std::string{R"({"id":"x","leaving":1e400})"},
+          std::string{R"({"id":"\udcff"})"}, std::string{"{\"id\":\"\xff\"}"}}) {
+        server_fixture it{[&](const http_request&) {
+            return http_reply{200, "",
+                              R"({"hosts":[{"id":"a","control":"10.0.0.1:7"},)" + odd +
+                                  R"(,{"id":"b","control":"10.0.0.2:7","leaving":true}]})"};
+        }};
+        std::vector<listed_host> hosts;
+        cr_assert(outcome_of([&]() -> result<std::optional<int>> {
+                      BOOST_LEAF_ASSIGN(hosts, it.client->list_hosts());
+                      return std::optional{1};
+                  }) == read_outcome::object);
+        cr_assert_eq(hosts.size(), 2);
+    }
+}
+
 // Guards against a restoration of the store that hosts do not notice, and against a further reply
 // of the same epoch that looks like one.
 Test(object_store_client, epochs_are_counted)
