--- a/tests/auto/httpstream/tst_messagereader.cpp
+++ b/tests/auto/httpstream/tst_messagereader.cpp
@@ -115,3 +115,33 @@
     cr_assert(is_connection_field("Keep-Alive", message));
     cr_assert(!is_connection_field("X-Public", message));
 }
+
+// Guards against a reply that counts as complete although the stream has ended in its head, in its
+// body or between its chunks.
+Test(message_reader, every_shorter_reply_is_incomplete)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-A: b\r\n";
+    for (const std::string& whole :
+         {head + "Content-Length: 3\r\n\r\nabc",
+          head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+          std::string{"HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n"}}) {
+        for (std::size_t n = 0; n <= whole.size(); ++n) {
+            for (const bool at_once : {true, false}) {
+                message_reader reader{message_kind::reply, {}};
+                for (std::size_t it = 0; it < n; it += at_once ? n : 1)
+                    reader.feed(std::string_view{whole}.substr(it, at_once ? n : 1));
+                const read_state state = reader.end_of_stream();
+                cr_assert(state ==
+                              (n == whole.size() ? read_state::complete : read_state::malformed),
+                          "%zu bytes of %s", n, whole.c_str());
+            }
+        }
+    }
+    // Without a length the body ends with the stream, but the head does not.
+    const std::string unframed = head + "\r\n";
+    for (std::size_t n = 0; n < unframed.size(); ++n) {
+        message_reader reader{message_kind::reply, {}};
+        reader.feed(std::string_view{unframed}.substr(0, n));
+        cr_assert(reader.end_of_stream() == read_state::malformed, "%zu", n);
+    }
+}
--- a/tests/auto/upstreamlink/tst_upstreamlink.cpp
+++ b/tests/auto/upstreamlink/tst_upstreamlink.cpp
@@ -143,6 +143,18 @@
     cr_assert(reply_to(http_reply(500, good_body)).status == reply_status::lost);
 }
 
+// The upstream stops in the head of its reply or right after it, and closes. Guards against an
+// empty reply that counts as complete or as not run.
+Test(upstream_link, reply_that_stops_in_its_head_is_lost, .timeout = 60)
+{
+    const std::string whole = http_reply(200, good_body);
+    const std::size_t head = whole.find("\r\n\r\n") + 4;
+    for (std::size_t n = 1; n <= head; n += n + 6 < head ? 5 : 1) {
+        const link_reply reply = reply_to(whole.substr(0, n), true);
+        cr_assert(reply.status == reply_status::lost, "%zu of %zu bytes", n, head);
+    }
+}
+
 // Guards against a call being reported as not run when it may have run (I6): the
 // status code is not enough, the body must say it.
 Test(upstream_link, refusals_count_as_not_run_only_if_they_say_so)
