gateway: a leaving host takes only requests that can end in its grace period

Callers saw 504 host_leaves for orders that had run: they came late in the grace period of a planned stop, were passed on, and were given up at its end.

Cause: a host that leaves took requests for a fixed part of its grace period (0.72), however long requests of the route take; 0.23 of it were left for those taken last.

Change: a request is taken if what requests of its route usually take (the 99th percentile on this host, a quarter more, at most the route's timeout and the caller's deadline) fits into the rest. While that is unknown, two target latencies count. The others are refused as not run.

Ruled out: going by the timeout alone, which would refuse requests of 160 ms for their 6 s from the start of the grace period.

--- a/src/libs/fanout/callstatistics.h
+++ b/src/libs/fanout/callstatistics.h
@@ -1,20 +1,23 @@
-// Call latency statistics of each route, as observed by this host.
+// Latency statistics of each route, of its calls and of whole requests, as observed by this host.
 #pragma once
 
 #include "base/clock.h"
 #include "base/latencywindow.h"
+#include "routing/routing.h"
 
 #include <string>
 #include <unordered_map>
 
 namespace ebonywick {
 
-/// Call latencies of one route. The quantiles are cached and recomputed every few samples:
+/// Latencies of one route. The quantiles are cached and recomputed every few samples:
 /// scanning the histogram for each call would cost more than the rest of the decision.
 class route_call_times
 {
 public:
     void add(duration call_time);
+    /// A request has ended after this time, which includes waits and repeated calls.
+    void add_request(duration request_time);
 
     /// 90th percentile of the call latency; zero until enough samples are known.
     [[nodiscard]] duration p90() const { return p90_; }
@@ -23,8 +26,14 @@
     /// Ratio of `call_time` to the median; 1 while the median is unknown.
     [[nodiscard]] double relative_to_median(duration call_time) const;
 
+    /// 99th percentile of the request latency; zero until enough samples are known.
+    [[nodiscard]] duration request_p99() const { return request_p99_; }
+
 private:
     latency_window window_{512};
+    latency_window requests_{512};
+    std::uint32_t requests_until_refresh_ = 16;
+    duration request_p99_{};
     std::uint32_t samples_until_refresh_ = 16;
     duration p90_{};
     duration median_{};
@@ -41,6 +50,8 @@
     /// including `budget`. A request with a smaller budget is a retry of a caller whose
     /// deadline has been running since its first attempt.
     [[nodiscard]] duration update_max_budget(const std::string& route, duration budget);
+    /// Time within which a request of `via` with this time budget is expected to end.
+    [[nodiscard]] duration longest_expected(const route& via, duration budget);
 
 private:
     std::unordered_map<std::string, route_call_times> routes_;
--- a/src/libs/gateway/callerrequest.cpp
+++ b/src/libs/gateway/callerrequest.cpp
@@ -205,6 +205,9 @@
 {
     const fan_out_plan& plan = fan_out_.plan();
     const duration took = context_.timers.now() - plan.arrival;
+    // A rejection or a departure of the caller shows nothing of how long requests take.
+    if (status != 0 && outcome != "not_run")
+        context_.fan_out_resources.statistics.for_route(plan.matched_route->name).add_request(took);
     context_.metrics.request_ended(plan.matched_route->name, outcome, took);
     if (!context_.log.enabled(log_level::info))
         return;
--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -139,8 +139,8 @@
 // How long callers may cache the list of hosts; some keep it three times as long.
 inline constexpr duration directory_ttl = milliseconds{1500};
 
-// Part of its grace period in which a leaving host admits requests. It refuses later ones,
-// which might not end in time, so that callers go to another host.
+// Part of its grace period in which a leaving host admits requests, as far as the rest is long
+// enough for them. It refuses the others, so that callers go to another host.
 inline constexpr double admission_grace_ratio = 0.72;
 // Part of its grace period after which a leaving host ends the open requests and exits.
 inline constexpr double serving_grace_ratio = 0.95;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -303,14 +303,16 @@
     check_leave_progress();
 }
 
+duration gateway::grace_part(double ratio) const
+{
+    return std::chrono::duration_cast<duration>(settings_.grace * ratio);
+}
+
 void gateway::check_leave_progress()
 {
     const duration since = timers_.now() - leaving_since_;
-    const auto part = [&](double share) {
-        return std::chrono::duration_cast<duration>(settings_.grace * share);
-    };
-    const bool admitting = since < part(gateway_constants::admission_grace_ratio);
-    const bool over = since >= part(gateway_constants::serving_grace_ratio);
+    const bool admitting = since < grace_part(gateway_constants::admission_grace_ratio);
+    const bool over = since >= grace_part(gateway_constants::serving_grace_ratio);
     if (over || (!admitting && requests_.empty())) {
         const auto open =
             static_cast<std::uint64_t>(std::distance(requests_.begin(), requests_.end()));
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -102,6 +102,9 @@
     // Watches the store and is in contact with it.
     [[nodiscard]] bool reads_store() const;
     void check_leave_progress();
+    [[nodiscard]] duration grace_part(double ratio) const;
+    // Whether this host, which is leaving, can still answer a request that arrives now.
+    [[nodiscard]] bool can_end_before_leaving(const route& via, duration budget, time_point now);
     [[nodiscard]] collection_handlers upstream_handlers();
     // Registers this host again if a restored store has lost its entry.
     void repeat_registration();
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -64,6 +64,13 @@
     return choice.services.back().service;
 }
 
+bool gateway::can_end_before_leaving(const route& via, duration budget, time_point now)
+{
+    return now - leaving_since_ <= grace_part(gateway_constants::admission_grace_ratio) &&
+           now + statistics_.longest_expected(via, budget) <=
+               leaving_since_ + grace_part(gateway_constants::serving_grace_ratio);
+}
+
 void gateway::on_caller_request(http_exchange exchange)
 {
     const http_message& message = exchange.request();
@@ -83,13 +90,12 @@
         return;
     }
     const time_point now = exchange.arrival();
-    const auto admission_period = std::chrono::duration_cast<duration>(
-        settings_.grace * gateway_constants::admission_grace_ratio);
-    if (leaving_since_ != time_point::max() && now - leaving_since_ > admission_period) {
+    const duration budget = header.time_left.value_or(default_time_budget);
+    if (leaving_since_ != time_point::max() &&
+        !can_end_before_leaving(*matched_route, budget, now)) {
         refuse(exchange, status_unavailable, "leaving", header.id);
         return;
     }
-    const duration budget = header.time_left.value_or(default_time_budget);
     fan_out_plan plan;
     plan.routes = routes_;
     plan.matched_route = matched_route;
--- a/tests/auto/fanout/tst_fanout.cpp
+++ b/tests/auto/fanout/tst_fanout.cpp
@@ -395,3 +395,22 @@
         }
     }
 }
+
+// Guards against an estimate that follows the timeout of a route whose requests are short, or that
+// promises less time than requests of the route take.
+Test(call_statistics, longest_expected_request_follows_what_requests_take)
+{
+    call_statistics statistics;
+    route via;
+    via.name = "r";
+    via.timeout = 6s;
+    via.target_latency = 600ms;
+    cr_assert(statistics.longest_expected(via, 5s) == 1200ms);
+    cr_assert(statistics.longest_expected(via, 1s) == 1s);
+    for (int it = 0; it < 200; ++it)
+        statistics.for_route("r").add_request(it % 50 == 0 ? 2500ms : 300ms);
+    const duration expected = statistics.longest_expected(via, 5s);
+    cr_assert(expected > 2500ms && expected < 3500ms);
+    via.timeout = 2s;
+    cr_assert(statistics.longest_expected(via, 5s) == 2s);
+}
