gateway: a host without a configuration answers 503 also while it leaves

Callers of a host that is stopped before it knows a configuration got 404, which they do not retry.

Cause: the check that the state is known was skipped while the host leaves, and no route was found.

Change: the check is separate from readiness, which also ends with the stop.

Measured: host_without_a_configuration_does_not_know_the_routes gets 404 before and 503 now.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -282,10 +282,14 @@
                 {"grace_ms", std::to_string(to_milliseconds(settings.grace))}});
 }
 
+bool gateway::knows_state() const
+{
+    return routes_ && upstream_watch_.complete() && domain_watch_.complete();
+}
+
 bool gateway::ready() const
 {
-    return routes_ && upstream_watch_.complete() && domain_watch_.complete() &&
-           leaving_since_ == time_point::max();
+    return knows_state() && leaving_since_ == time_point::max();
 }
 
 void gateway::leave(std::function<void()> finished)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -111,6 +111,8 @@
     [[nodiscard]] collection_handlers handlers_for(
         const std::function<void(const std::vector<platform::stored_item>&, bool is_full_list)>&
             apply);
+    // The configuration, the upstreams and the removed failure domains are known.
+    [[nodiscard]] bool knows_state() const;
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::size_t connection_limit(const upstream& to) const;
     [[nodiscard]] const service_name& pick_weighted_service(const service_choice& choice);
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -79,12 +79,11 @@
         refuse(exchange, status_bad_request, "request_id_missing", "");
         return;
     }
-    if (!ready() && leaving_since_ == time_point::max()) {
+    if (!knows_state()) {
         refuse(exchange, status_unavailable, "not_ready", header.id);
         return;
     }
-    const route* matched_route =
-        routes_ ? routes_->find(message.field("host"), message.target) : nullptr;
+    const route* matched_route = routes_->find(message.field("host"), message.target);
     if (matched_route == nullptr) {
         refuse(exchange, status_not_found, "no_route", header.id);
         return;
--- a/tests/auto/gateway/tst_plannedstop.cpp
+++ b/tests/auto/gateway/tst_plannedstop.cpp
@@ -73,3 +73,18 @@
     }
     cr_assert_geq(answered, early);
 }
+
+// A host that knows no configuration yet is stopped. Guards against answering that there is no
+// route, which callers do not retry elsewhere.
+Test(planned_stop, host_without_a_configuration_does_not_know_the_routes)
+{
+    gateway_fixture f{1};
+    f.publish();
+    f.store.set_faults({.silent = true});
+    f.start();
+    f.run(300ms);
+    f.instance->leave([] {});
+    const auto answer = f.order("o");
+    cr_assert_eq(answer.status, 503);
+    cr_assert(!answer.field("Retry-After").empty());
+}
