gateway: a timeout does not write into an answer that is being sent

A caller that pipelines a part of a request and does not read its answer in time got a 408 in the middle of the answer, and the bytes after it came from a buffer that had been replaced.

Cause: the timeout refuses a request that has been started, also while an answer is being written.

Change: it only closes the connection then.

Measured: timeout_does_not_write_into_an_answer fails before and passes now.

--- a/src/libs/gateway/httpsession.cpp
+++ b/src/libs/gateway/httpsession.cpp
@@ -28,7 +28,7 @@
       reader_(message_kind::request, {server.limits_.header_bytes, server.limits_.body_bytes}),
       timeout_(server.timers_, [this] {
           const http_session_pointer self{this};
-          if (!lingering_ && reader_.message_started())
+          if (!busy() && reader_.message_started())
               refuse({read_state::need_more, true});
           else
               close();
--- a/tests/auto/gateway/tst_httpserver.cpp
+++ b/tests/auto/gateway/tst_httpserver.cpp
@@ -85,3 +85,39 @@
     cr_assert(ec == asio::error::eof && received == large, "%zu bytes, %s", received.size(),
               ec.message().c_str());
 }
+
+// A client pipelines a part of a request and does not read its answer until the time for the next
+// request is over. Guards against a status of the server in the middle of the answer.
+Test(http_server, timeout_does_not_write_into_an_answer)
+{
+    namespace asio = boost::asio;
+    asio::io_context loop{1};
+    timer_queue timers{loop, boot_clock::now};
+    const endpoint address = free_address();
+    const std::string large(16U << 20U, 'a');
+    http_server server{loop,
+                       timers,
+                       address,
+                       {[&](http_exchange it) { it.answer(large, after_answer::keep_open); },
+                        [](const bad_request&) {
+                            return std::string(1000, 'b');
+                        }}};
+    server.set_limits({.header_timeout = 100ms, .idle_timeout = 100ms});
+    asio::ip::tcp::socket client{loop};
+    client.connect({asio::ip::make_address(address.ip), address.port});
+    asio::write(client,
+                asio::buffer(std::string{"GET /a HTTP/1.1\r\nHost: t\r\n\r\nGET /b HTTP/1.1\r\n"}));
+    loop.run_for(400ms);
+    client.non_blocking(true);
+    std::string received;
+    std::array<char, 65'536> buf{};
+    boost::system::error_code ec;
+    while (!ec || ec == asio::error::would_block) {
+        const std::size_t n = client.read_some(asio::buffer(buf), ec);
+        received.append(buf.data(), ec ? 0 : n);
+        loop.run_for(1ms);
+    }
+    // The connection is closed, because the client has not received the answer in time.
+    cr_assert(received.size() < large.size());
+    cr_assert(received.find_first_not_of('a') == std::string::npos);
+}
