gateway: answers to HEAD end with their header

Callers of a host that rejects a HEAD request got a body after its header, which they took for the beginning of the next answer on the connection. Answers passed on stated a length of 0.

Cause: each place that writes an answer appended its body; only calls to upstreams knew that a reply to HEAD has none.

Change: the session, through which all answers go, knows the request's method and sends the header only.

Measured: answer_to_head_ends_with_its_header fails without the session's part and passes with it.

--- a/src/libs/fanout/fanout.h
+++ b/src/libs/fanout/fanout.h
@@ -29,6 +29,10 @@
     // Header fields to forward to the caller, in order.
     std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
+    // The reply has no body whatever its header says, as after a HEAD request.
+    bool bodyless = false;
+    // Length that a bodyless reply states; empty if it states none.
+    std::string stated_length = {};
 
     auto operator<=>(const upstream_reply&) const = default;
 
--- a/src/libs/gateway/httpsession.cpp
+++ b/src/libs/gateway/httpsession.cpp
@@ -23,6 +23,12 @@
         delete it;
 }
 
+namespace {
+
+constexpr std::string_view header_end = "\r\n\r\n";
+
+} // namespace
+
 http_session::http_session(http_server& server, asio::ip::tcp::socket socket)
     : server_(server), socket_(std::move(socket)),
       reader_(message_kind::request, {server.limits_.header_bytes, server.limits_.body_bytes}),
@@ -109,6 +115,7 @@
     continue_sent_ = false;
     http_message request = reader_.take();
     keep_alive_ = request.keep_alive;
+    bodyless_answer_ = request.method == "HEAD";
     // Reading continues, because it is how a disconnect of the sender is noticed.
     read();
     server_.handlers_.request(
@@ -131,6 +138,9 @@
     in_progress_ = false;
     close_after_write_ = then == after_answer::close;
     output_ = std::move(bytes);
+    if (const auto end = output_.find(header_end);
+        std::exchange(bodyless_answer_, false) && end != std::string::npos)
+        output_.resize(end + header_end.size());
     write();
 }
 
--- a/src/libs/gateway/httpsession.h
+++ b/src/libs/gateway/httpsession.h
@@ -62,6 +62,8 @@
     bool reading_ = false;
     bool close_after_write_ = false;
     bool keep_alive_ = true;
+    // The answer ends with its header, because the request is a HEAD.
+    bool bodyless_answer_ = false;
     bool continue_sent_ = false;
     bool lingering_ = false;
     bool closed_ = false;
--- a/src/libs/gateway/upstreamcall.h
+++ b/src/libs/gateway/upstreamcall.h
@@ -43,13 +43,7 @@
 
     [[nodiscard]] const upstream_call_plan& plan() const { return plan_; }
     /// Reports the outcome, at most once and not after abandon().
-    void end(call_outcome outcome)
-    {
-        const auto ended = std::exchange(plan_.ended, nullptr);
-        connection_ = nullptr;
-        if (ended)
-            ended(std::move(outcome));
-    }
+    void end(call_outcome outcome);
     /// Neither ended nor abandoned.
     [[nodiscard]] bool open() const { return plan_.ended != nullptr; }
 
--- a/src/libs/gateway/upstreamconnection.cpp
+++ b/src/libs/gateway/upstreamconnection.cpp
@@ -203,7 +203,9 @@
     // Bytes after the reply belong to no request.
     const bool more = reader_.message_started();
     const bool keep = message.keep_alive && !more && !writing_;
-    platform::decoded_reply decoded = platform::decode_reply(std::move(message));
+    platform::decoded_reply decoded = platform::decode_reply(
+        std::move(message),
+        call_->plan().bodyless_reply ? platform::bodyless::yes : platform::bodyless::no);
     const bool unnamed_success =
         decoded.request_id.empty() && names_requests_ && decoded.reply && decoded.reply->success();
     names_requests_ = names_requests_ || !decoded.request_id.empty();
--- a/tests/auto/gateway/tst_httpserver.cpp
+++ b/tests/auto/gateway/tst_httpserver.cpp
@@ -121,3 +121,30 @@
     cr_assert(received.size() < large.size());
     cr_assert(received.find_first_not_of('a') == std::string::npos);
 }
+
+// Guards against a body after the answer to a HEAD request, which the client takes for the
+// beginning of the next answer.
+Test(http_server, answer_to_head_ends_with_its_header)
+{
+    namespace asio = boost::asio;
+    asio::io_context loop{1};
+    timer_queue timers{loop, boot_clock::now};
+    const endpoint address = free_address();
+    const std::string head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\n";
+    const http_server server{
+        loop,
+        timers,
+        address,
+        {[&](http_exchange it) { it.answer(head + "body", after_answer::keep_open); },
+         [&](const bad_request&) {
+             return head + "body";
+         }}};
+    asio::ip::tcp::socket client{loop};
+    client.connect({asio::ip::make_address(address.ip), address.port});
+    const std::string fields = " /a HTTP/1.1\r\nHost: t\r\n\r\n";
+    asio::write(client, asio::buffer("HEAD" + fields + "GET" + fields + "HEAD" + fields));
+    loop.run_for(50ms);
+    std::string received(1000, ' ');
+    received.resize(client.read_some(asio::buffer(received)));
+    cr_assert(received == head + head + "body" + head, "%s", received.c_str());
+}
--- a/tests/auto/platform/tst_httpcodec.cpp
+++ b/tests/auto/platform/tst_httpcodec.cpp
@@ -183,3 +183,23 @@
     // A failure that may have run asks for a pause just the same.
     cr_assert(decode_reply(reply(503, {{"Retry-After", "4"}})).pause == 4s);
 }
+
+// Failure: an answer without a body states the length of an empty one, although the upstream stated
+// another or none.
+Test(http_codec, answers_without_a_body_keep_the_stated_length)
+{
+    const auto encoded = [](int status, bodyless is_bodyless, const std::string& length) {
+        http_message message = reply(status, {{"X-Server-Stamp", "p"}});
+        message.body.clear();
+        if (!length.empty())
+            message.fields.emplace_back("Content-Length", length);
+        return encode_answer(*decode_reply(std::move(message), is_bodyless).reply,
+                             connection_use::keep);
+    };
+    cr_assert(contains(encoded(200, bodyless::yes, "900"), "Content-Length: 900\r\n"));
+    cr_assert(!contains(encoded(200, bodyless::yes, ""), "Content-Length"));
+    cr_assert(contains(encoded(200, bodyless::no, ""), "Content-Length: 0\r\n"));
+    cr_assert(!contains(encoded(204, bodyless::no, ""), "Content-Length"));
+    cr_assert(!contains(encoded(304, bodyless::no, ""), "Content-Length"));
+    cr_assert(contains(encoded(304, bodyless::no, "900"), "Content-Length: 900\r\n"));
+}
