fanout, platform: an unconfirmed refusal is no promise to callers

Callers of orders got an upstream's own 408, 429 or 503 although it had not said that it did not run the order. These statuses promise that it has not run, so callers repeat it.

Cause: a failure of an upstream was passed on unchanged; only the status, not the confirmation, reached the caller.

Change: for a request that must not be repeated such a reply counts as a failure after which the outcome is unknown (502). Idempotent requests get the upstream's status as before.

--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -239,8 +239,9 @@
     may_have_run_ = true;
     if (!event.reply.success()) {
         end_call(it, call_result::failed, now);
-        // Forwarded to the caller if no later attempt succeeds.
-        if (shards_ == nullptr)
+        // Forwarded to the caller if no later attempt succeeds. A caller would repeat a request
+        // that must not be repeated after an unconfirmed refusal.
+        if (shards_ == nullptr && (idempotent() || !event.reply.unconfirmed_refusal))
             of.reply = std::move(event.reply);
         retry_or_fail(index, true, now, out);
         return;
--- a/src/libs/fanout/fanout.h
+++ b/src/libs/fanout/fanout.h
@@ -29,6 +29,9 @@
     // Header fields to forward to the caller, in order.
     std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
+    // To a caller, the status promises that the request has not run; the upstream has not confirmed
+    // that.
+    bool unconfirmed_refusal = false;
     // The reply has no body whatever its header says, as after a HEAD request.
     bool bodyless = false;
     // Length that a bodyless reply states; empty if it states none.
--- a/tests/auto/fanout/tst_fanout.cpp
+++ b/tests/auto/fanout/tst_fanout.cpp
@@ -414,3 +414,21 @@
     via.timeout = 2s;
     cr_assert(statistics.longest_expected(via, 5s) == 2s);
 }
+
+// Guards against a refusal that its upstream has not confirmed and that tells the caller of a
+// request that must not be repeated that it has not run.
+Test(fan_out, unconfirmed_refusal_is_no_promise)
+{
+    for (const bool idempotent : {false, true}) {
+        fan_out_fixture f{0, 1.0, idempotent};
+        f.add_all(1);
+        f.start();
+        upstream_reply refusal{503, "stamp", {}, ""};
+        refusal.unconfirmed_refusal = true;
+        f.request->handle(call_replied{0, refusal}, f.now, f.actions);
+        f.take_actions();
+        cr_assert(f.calls.size() == 1);
+        cr_assert((f.ended_as<failed_answer>() != nullptr) == !idempotent);
+        cr_assert((f.ended_as<upstream_reply>() != nullptr) == idempotent);
+    }
+}
