gateway: a reply that names no request belongs to none if others on its connection do

Orders ran at two upstreams: stray bytes after a reply, a refusal without an id that nobody sent, were taken for the refusal of the next order on the connection, which was then sent to another upstream.

Cause: on a connection whose replies name their requests only a success without a name was rejected. The class: a message is matched to a request by its place instead of by its name.

Change: every reply, whatever its status, belongs to the call only if it names its request, or names none on a connection where none has.

Ruled out: refusals without a name that are meant.

Measured: reply_ownership, 84 kinds of replies on real sockets: fails before (200, 404 and others without a name but with X-Not-Executed on a used connection: 503, sent twice) and passes now. All 64 test programs pass.

--- a/src/libs/gateway/upstreamconnection.cpp
+++ b/src/libs/gateway/upstreamconnection.cpp
@@ -206,11 +206,11 @@
     platform::decoded_reply decoded = platform::decode_reply(
         std::move(message),
         call_->plan().bodyless_reply ? platform::bodyless::yes : platform::bodyless::no);
-    const bool unnamed_success =
-        decoded.request_id.empty() && names_requests_ && decoded.reply && decoded.reply->success();
+    const bool belongs = decoded.request_id.empty()
+                             ? !names_requests_
+                             : decoded.request_id == call_->plan().request_id;
     names_requests_ = names_requests_ || !decoded.request_id.empty();
-    if (unnamed_success ||
-        (!decoded.request_id.empty() && decoded.request_id != call_->plan().request_id)) {
+    if (!belongs) {
         // A late second reply to an earlier request. The replies that follow cannot be matched
         // to requests reliably, so the connection is closed.
         fail(call_failure::lost);
