gateway: new limits of requests reach open connections

Callers on connections that were opened before a configuration raised max_body_bytes got 413 for proper requests.

Cause: a connection copied the limits when it was opened.

Change: the server passes new limits to its connections; they apply from the next request on.

Measured: new_limits_reach_open_connections fails without it and passes with it.

--- a/src/libs/gateway/httpserver.cpp
+++ b/src/libs/gateway/httpserver.cpp
@@ -57,6 +57,13 @@
     }
 }
 
+void http_server::set_limits(const caller_limits& limits)
+{
+    limits_ = limits;
+    for (http_session& it : *sessions_)
+        it.apply_limits();
+}
+
 void http_server::accept()
 {
     acceptor_.async_accept([this](const error_code& ec, tcp::socket socket) {
--- a/src/libs/gateway/httpserver.h
+++ b/src/libs/gateway/httpserver.h
@@ -76,7 +76,8 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
-    void set_limits(const caller_limits& limits) { limits_ = limits; }
+    /// Applies to open connections as well, from their next request on.
+    void set_limits(const caller_limits& limits);
     /// From now on closes_connection() is true for all exchanges.
     void start_draining() { draining_ = true; }
     /// Closes the listening socket and all connections that have no request in progress and no
--- a/src/libs/gateway/httpsession.cpp
+++ b/src/libs/gateway/httpsession.cpp
@@ -43,6 +43,11 @@
     server_.sessions_->push_back(*this);
 }
 
+void http_session::apply_limits()
+{
+    reader_.set_limits({server_.limits_.header_bytes, server_.limits_.body_bytes});
+}
+
 void http_session::start()
 {
     arm_read_timeout();
--- a/src/libs/gateway/httpsession.h
+++ b/src/libs/gateway/httpsession.h
@@ -26,6 +26,8 @@
 
     void start();
     void close();
+    /// Takes over the server's limits for the requests that have not been started.
+    void apply_limits();
     /// A request is in progress, its answer is being sent, or the peer has yet to read the last
     /// one.
     [[nodiscard]] bool busy() const { return in_progress_ || !output_.empty() || lingering_; }
--- a/src/libs/httpstream/messagereader.cpp
+++ b/src/libs/httpstream/messagereader.cpp
@@ -220,6 +220,13 @@
         reply->skip(true);
 }
 
+void message_reader::set_limits(message_limits limits)
+{
+    impl_->limits = limits;
+    if (!impl_->started)
+        impl_->reset();
+}
+
 bool message_reader::message_started() const
 {
     return impl_->started;
--- a/src/libs/httpstream/messagereader.h
+++ b/src/libs/httpstream/messagereader.h
@@ -56,6 +56,9 @@
     /// HEAD request. To be called before its first byte is fed.
     void expect_no_body();
 
+    /// Applies to the messages that have not been started.
+    void set_limits(message_limits limits);
+
     /// True once a byte of the current message has arrived.
     [[nodiscard]] bool message_started() const;
     [[nodiscard]] bool header_complete() const;
--- a/tests/auto/gateway/tst_httpserver.cpp
+++ b/tests/auto/gateway/tst_httpserver.cpp
@@ -148,3 +148,46 @@
     received.resize(client.read_some(asio::buffer(received)));
     cr_assert(received == head + head + "body" + head, "%s", received.c_str());
 }
+
+// A configuration raises the limits. Guards against connections that were opened before and keep
+// the limits of that time.
+Test(http_server, new_limits_reach_open_connections)
+{
+    namespace asio = boost::asio;
+    asio::io_context loop{1};
+    timer_queue timers{loop, boot_clock::now};
+    const endpoint address = free_address();
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    const std::string refused = "HTTP/1.1 413 X\r\nContent-Length: 0\r\n\r\n";
+    http_server server{loop,
+                       timers,
+                       address,
+                       {[&](http_exchange it) { it.answer(ok, after_answer::keep_open); },
+                        [&](const bad_request&) {
+                            return refused;
+                        }}};
+    server.set_limits({.body_bytes = 10});
+    std::vector<asio::ip::tcp::socket> clients;
+    const auto send = [&](asio::ip::tcp::socket& to, std::size_t bytes) {
+        asio::write(to, asio::buffer(fmt::format("POST /a HTTP/1.1\r\nHost: t\r\nContent-Length: {}"
+                                                 "\r\n\r\n{}",
+                                                 bytes, std::string(bytes, 'x'))));
+        loop.run_for(20ms);
+        std::string received(1000, ' ');
+        received.resize(to.read_some(asio::buffer(received)));
+        return received;
+    };
+    for (int it = 0; it < 2; ++it) {
+        clients.emplace_back(loop);
+        clients.back().connect({asio::ip::make_address(address.ip), address.port});
+        loop.run_for(20ms);
+    }
+    // One of the connections has carried a request.
+    cr_assert(send(clients[0], 10) == ok);
+    server.set_limits({.body_bytes = 100});
+    for (auto& it : clients)
+        cr_assert(send(it, 100) == ok);
+    server.set_limits({.body_bytes = 50});
+    for (auto& it : clients)
+        cr_assert(send(it, 100) == refused);
+}
