fanout: a request that was not sent has not run

Callers got 504 with an unknown outcome for requests that had waited for a connection until their time budget ended and were never sent.

Cause: the decisions took a call for sent as soon as it was handed to the connection pool. The class is that of the answers at a stop: done is what was handed on.

Change: the pool's encoding of a call reports that it is sent. If nothing was sent, the request is rejected as not run, and as soon as the median time of a call no longer fits before the deadline, so that the caller can go elsewhere; the same at the end of a host's grace period.

Measured: request_that_was_not_sent_has_not_run and ..._ends_early_as_not_run, simulated time, pass; the calls of the other tests and of the simulated fleet count as sent at once, as before.

--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -343,16 +343,30 @@
     if (replied_targets_ + open < required_replies_) {
         if (shards_ == nullptr && targets_.front().reply)
             finish(std::move(*targets_.front().reply), now, out);
-        else if (may_have_run_ || open > 0 || replied_targets_ > 0)
+        else if (may_run())
             finish(failed_answer{"too_few_replies", false}, now, out);
         else
             finish(not_run_answer{"refused_by_upstreams", retry_after(now)}, now, out);
         return;
     }
-    if (now >= outcome_deadline_)
+    if (now >= latest_sending() && !may_run())
+        finish(not_run_answer{"not_sent_in_time", retry_after(now)}, now, out);
+    else if (now >= outcome_deadline_)
         finish(failed_answer{"timed_out", true}, now, out);
 }
 
+bool fan_out::may_run() const
+{
+    return may_have_run_ || std::any_of(calls_.begin(), calls_.end(), [](const call& it) {
+               return it.open && it.sent_on_connection;
+           });
+}
+
+time_point fan_out::latest_sending() const
+{
+    return outcome_deadline_ - std::max(times_.median(), min_time_for_attempt);
+}
+
 void fan_out::finish(fan_out_outcome outcome, time_point now, std::vector<fan_out_action>& out)
 {
     abandon_all(now, out);
@@ -372,7 +386,7 @@
         return;
     if (shards_ != nullptr && replied_targets_ >= required_replies_)
         finish(merge(), now, out);
-    else if (calls_.empty())
+    else if (!may_run())
         finish(not_run_answer{reason, retry_after(now)}, now, out);
     else
         finish(failed_answer{reason, true}, now, out);
@@ -392,6 +406,7 @@
     call& it = calls_[number];
     if (very_late(it, comparison, now) && !it.late_reported)
         shared_.upstreams.call_late(*it.to, now);
+    may_have_run_ = may_have_run_ || it.sent_on_connection;
     end_call(it, call_result::cancelled, now);
     out.emplace_back(abandon_call{number});
 }
@@ -420,7 +435,7 @@
 
 time_point fan_out::next_timer() const
 {
-    time_point out = outcome_deadline_;
+    time_point out = may_run() ? outcome_deadline_ : latest_sending();
     if (replied_targets_ >= required_replies_)
         out = std::min(out, partial_answer_at_);
     for (const call_target& it : targets_)
--- a/src/libs/fanout/fanout.h
+++ b/src/libs/fanout/fanout.h
@@ -169,6 +169,9 @@
 
     void start(time_point now, std::vector<fan_out_action>& out);
     void handle(fan_out_event event, time_point now, std::vector<fan_out_action>& out);
+    /// The request has been sent on a connection of this call. Until then the call waits, and the
+    /// upstream cannot have run the request.
+    void call_sent(call_number number) { calls_[number].sent_on_connection = true; }
     /// Abandons all calls after the caller has disconnected. No outcome follows.
     void cancel(time_point now, std::vector<fan_out_action>& out);
 
@@ -191,6 +194,7 @@
         time_point sent;
         bool open = true;
         bool late_reported = false;
+        bool sent_on_connection = false;
     };
 
     struct call_target
@@ -235,6 +239,10 @@
     void abandon(call_number number, duration comparison, time_point now,
                  std::vector<fan_out_action>& out);
     void abandon_all(time_point now, std::vector<fan_out_action>& out);
+    // Whether an upstream may have run the request, or may still run it.
+    [[nodiscard]] bool may_run() const;
+    // The time from which on a request that has not been sent cannot be answered in time.
+    [[nodiscard]] time_point latest_sending() const;
     [[nodiscard]] merged_answer merge() const;
     [[nodiscard]] duration retry_after(time_point now) const;
 
@@ -256,7 +264,7 @@
     time_point partial_answer_at_;
     // Latest time for an outcome.
     time_point outcome_deadline_;
-    // An upstream may have run the request.
+    // An upstream may have run the request in a call that is no longer open.
     bool may_have_run_ = false;
     bool finished_ = false;
 };
--- a/src/libs/gateway/callerrequest.cpp
+++ b/src/libs/gateway/callerrequest.cpp
@@ -74,12 +74,14 @@
     plan.request_id = id_;
     plan.needs_recent_connection = !fan_out_.plan().matched_route->idempotent;
     plan.bodyless_reply = exchange_.request().method == "HEAD";
-    plan.encode = [self = caller_request_pointer{this}, to = action.to, deadline]() -> std::string {
+    plan.encode = [self = caller_request_pointer{this}, to = action.to, number = action.call,
+                   deadline]() -> std::string {
         // The upstream may have become unusable while the call waited for a connection.
         const time_point now = self->context_.timers.now();
         const duration left = deadline - now;
         if (left <= duration::zero() || !to->accepts_calls(now))
             return {};
+        self->fan_out_.call_sent(number);
         return platform::encode_call(self->exchange_.request(), to->entry().id, left);
     };
     plan.ended = [self = caller_request_pointer{this}, number = action.call](call_outcome outcome) {
--- a/tests/auto/fanout/fanoutfixture.h
+++ b/tests/auto/fanout/fanoutfixture.h
@@ -103,9 +103,11 @@
     void take_actions()
     {
         for (auto& it : actions) {
-            if (auto* sent = std::get_if<start_call>(&it))
+            if (auto* sent = std::get_if<start_call>(&it)) {
                 calls[sent->call] = *sent;
-            else if (auto* dropped = std::get_if<abandon_call>(&it))
+                if (!calls_wait)
+                    request->call_sent(sent->call);
+            } else if (auto* dropped = std::get_if<abandon_call>(&it))
                 abandoned.push_back(dropped->call);
             else
                 outcome = std::move(std::get<finish_request>(it).outcome);
@@ -128,6 +130,8 @@
     std::size_t shard_count;
     time_point now{1000s};
     bool refused_before = false;
+    // Calls wait for a connection, and are not sent until the test says so.
+    bool calls_wait = false;
     route_table_pointer routes;
     upstream_table upstreams{host_id{"h"}, failure_domain_id{"d"}, 3};
     extra_budget budget{{0.2, 10s, 100}};
--- a/tests/auto/fanout/simulatedfleet.h
+++ b/tests/auto/fanout/simulatedfleet.h
@@ -309,6 +309,7 @@
         auto call = std::make_shared<server_call>();
         call->work = seconds(work(engine_) / 1000);
         it->calls[sent.call] = call;
+        it->decisions->call_sent(sent.call);
         const auto number = std::stoul(sent.to->entry().id.value());
         schedule(now_ + one_way, [this, it, call, number, sent] {
             server& to = servers_[number];
--- a/tests/auto/fanout/tst_fanout.cpp
+++ b/tests/auto/fanout/tst_fanout.cpp
@@ -432,3 +432,46 @@
         cr_assert((f.ended_as<upstream_reply>() != nullptr) == idempotent);
     }
 }
+
+// Calls wait for a connection until the request can no longer be answered in time. Guards against
+// an answer that leaves open whether the request has run, and against one that only comes at the
+// deadline.
+Test(fan_out, request_that_was_not_sent_has_not_run)
+{
+    for (const std::size_t shards : {0U, 3U}) {
+        fan_out_fixture f{shards, 0.75, shards > 0};
+        f.calls_wait = true;
+        f.add_all(2);
+        for (int it = 0; it < 50; ++it)
+            f.statistics.for_route("r").add(100ms);
+        f.start();
+        const time_point begin = f.now;
+        while (!f.request->finished())
+            f.advance(5ms);
+        const auto* refusal = f.ended_as<not_run_answer>();
+        cr_assert(refusal != nullptr && refusal->reason == "not_sent_in_time");
+        // The deadline is 600 ms after the start, and calls take 100 ms.
+        cr_assert(f.now - begin > 450ms && f.now - begin <= 500ms);
+    }
+    // A call that was sent may have run, also if another one waits.
+    fan_out_fixture f{2, 1.0};
+    f.calls_wait = true;
+    f.add_all(1);
+    f.start();
+    f.request->call_sent(1);
+    f.advance(600ms);
+    cr_assert(f.ended_as<failed_answer>() != nullptr);
+}
+
+// A host leaves while a request waits for a connection. Guards against an answer that leaves open
+// whether it has run.
+Test(fan_out, request_that_was_not_sent_ends_early_as_not_run)
+{
+    fan_out_fixture f{0, 1.0, false};
+    f.calls_wait = true;
+    f.add_all(1);
+    f.start();
+    f.request->end_early("host_leaves", f.now, f.actions);
+    f.take_actions();
+    cr_assert(f.ended_as<not_run_answer>() != nullptr);
+}
