gateway: hosts that are not entry hosts share the remaining connections

The first orders of a host that had just become ready waited for connections until their budget ended, although the upstreams had free slots.

Cause: a host opened one connection to an upstream until it was an entry host, which takes a heartbeat after it has become ready.

Change: the part of the connection limit that entry hosts leave free is divided among the other hosts, at least one connection each. In fleets of hundreds of hosts that is one, as before; in one of 13 two of 76, in one of 3 eight.

--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -33,8 +33,8 @@
 // counts.
 inline constexpr double known_hosts_connection_ratio = 0.9;
 
-// The same share if only some hosts are entry hosts: each of the others may hold one
-// connection for the few requests that reach it.
+// The same share if only some hosts are entry hosts. The rest of known_hosts_connection_ratio is
+// divided among the others, for the few requests that reach them; each may hold one connection.
 inline constexpr double entry_hosts_connection_ratio = 0.55;
 
 // Longest time that the store holds a watch; it returns earlier when something changes.
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -171,8 +171,8 @@
     // Hosts among which limits are divided; updated with each heartbeat.
     std::size_t sharing_hosts_ = 1;
     bool is_entry_host_ = false;
-    // Some registered hosts are not entry hosts.
-    bool non_entry_hosts_exist_ = false;
+    // Number of registered hosts that are not entry hosts.
+    std::size_t non_entry_hosts_ = 0;
     // Newest epoch of the store that its replies have shown; see platform::decode_store_epoch().
     std::uint64_t store_epoch_ = 0;
     // Epoch at whose beginning this host knew the state before it, or has read what other hosts
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -45,7 +45,8 @@
     is_entry_host_ = (leaving && is_entry_host_) ||
                      std::any_of(entry_hosts.begin(), entry_hosts.end(),
                                  [&](const auto& it) { return it.id == settings_.host; });
-    non_entry_hosts_exist_ = peers_.ids().size() + 1 > entry_hosts.size();
+    non_entry_hosts_ =
+        peers_.ids().size() + 1 - std::min(entry_hosts.size(), peers_.ids().size() + 1);
     heartbeat_link_.send(own_message(), peers_.heartbeat_targets(leaving));
     query_relays(now);
     update_watch_freshness(now);
@@ -334,15 +335,20 @@
 
 std::size_t gateway::connection_limit(const upstream& to) const
 {
-    // A host that is not an entry host gets requests only from callers with an old list of
-    // hosts, and a few test requests.
-    if (!is_entry_host_)
-        return 1;
+    using gateway_constants::entry_hosts_connection_ratio;
+    using gateway_constants::known_hosts_connection_ratio;
     const service_policy* policy = routes_ ? routes_->policy(to.entry().service) : nullptr;
     const double all = policy != nullptr ? policy->connection_limit : 1.0;
-    const double used = non_entry_hosts_exist_ ? gateway_constants::entry_hosts_connection_ratio
-                                               : gateway_constants::known_hosts_connection_ratio;
-    const double part = all * used / static_cast<double>(sharing_hosts_);
+    double used =
+        non_entry_hosts_ > 0 ? entry_hosts_connection_ratio : known_hosts_connection_ratio;
+    std::size_t hosts = sharing_hosts_;
+    if (!is_entry_host_) {
+        // A host that is not an entry host gets requests from callers with an old list of hosts, a
+        // few test requests, and the first ones after it has become ready.
+        used = known_hosts_connection_ratio - entry_hosts_connection_ratio;
+        hosts = std::max(hosts, non_entry_hosts_);
+    }
+    const double part = all * used / static_cast<double>(hosts);
     return std::max<std::size_t>(1, static_cast<std::size_t>(part));
 }
 
