--- a/tests/auto/gateway/tst_httpserver.cpp
+++ b/tests/auto/gateway/tst_httpserver.cpp
@@ -158,7 +158,7 @@
     timer_queue timers{loop, boot_clock::now};
     const endpoint address = free_address();
     const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    const std::string refused = "HTTP/1.1 413 X\r\nContent-Length: 0\r\n\r\n";
+    std::string refused = "HTTP/1.1 413 X\r\nContent-Length: 0\r\n\r\n";
     http_server server{loop,
                        timers,
                        address,
--- a/tests/auto/gateway/tst_leavingupstream.cpp
+++ b/tests/auto/gateway/tst_leavingupstream.cpp
@@ -162,7 +162,7 @@
     for (int it = 0; it < 5; ++it) {
         callers.push_back(std::make_unique<http_channel>(f.loop, f.timers, f.settings.callers));
         callers.back()->call(f.request_text("POST", "/o/x", "o" + std::to_string(it), "body"), 5s,
-                             [&](std::optional<http_message> reply) {
+                             [&](const std::optional<http_message>& reply) {
                                  answers.push_back(reply.value_or(http_message{}));
                              });
     }
--- a/tests/auto/gateway/tst_plannedstop.cpp
+++ b/tests/auto/gateway/tst_plannedstop.cpp
@@ -27,7 +27,7 @@
     auto out = std::make_unique<sent_order>();
     out->channel = std::make_unique<http_channel>(f.loop, f.timers, f.settings.callers);
     out->channel->call(f.request_text("POST", "/o/x", id, "body"), 5s,
-                       [to = out.get()](std::optional<http_message> reply) {
+                       [to = out.get()](const std::optional<http_message>& reply) {
                            to->answer = reply.value_or(http_message{});
                        });
     return out;
--- a/tests/auto/platform/tst_storecodec.cpp
+++ b/tests/auto/platform/tst_storecodec.cpp
@@ -2,6 +2,7 @@
 #include "platform/storecodec.h"
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 using namespace ebonywick;
 using namespace ebonywick::platform;
@@ -87,19 +88,20 @@
     for (const std::string& content :
          {deep, "{\"a\":" + deep + "}", std::string{"1e400"}, std::string(400, '9'),
           std::string{R"("\udcff")"}, std::string{"\"\xff\""}, std::string{"nonsense"}}) {
-        const std::string odd = R"({"meta":{"name":"b","revision":4},"spec":)" + content + "}";
+        const auto odd =
+            fmt::format(R"({{"meta":{{"name":"b","revision":4}},"spec":{}}})", content);
         const std::string others = R"({"meta":{"name":"a","revision":3},"spec":{"x":1}})";
-        const auto list = decode_list("{\"items\":[" + odd + "," + others + "," + odd +
-                                      "],\"has_more\":false,\"at\":9}");
+        const auto list = decode_list(
+            fmt::format(R"({{"items":[{},{},{}],"has_more":false,"at":9}})", odd, others, odd));
         const auto& page = std::get<collection_page>(list);
         cr_assert(page.items.size() == 3 && page.skipped == 0 && page.revision == 9);
         cr_assert(page.items[1].content == R"({"x":1})" && page.items[1].problem.empty());
         for (const std::size_t it : {0U, 2U})
             cr_assert(page.items[it].name == "b" && page.items[it].content.empty() &&
                       !page.items[it].problem.empty() && page.items[it].problem.size() < 100);
-        const auto events =
-            decode_events("{\"events\":[{\"object\":" + odd +
-                          "},{\"deleted\":true,\"object\":" + others + "}],\"at\":9}");
+        const auto events = decode_events(
+            fmt::format(R"({{"events":[{{"object":{}}},{{"deleted":true,"object":{}}}],"at":9}})",
+                        odd, others));
         const auto& changes = std::get<collection_page>(events);
         cr_assert(changes.items.size() == 2 && !changes.items[0].deleted &&
                   changes.items[1].deleted);
