--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -105,8 +105,9 @@
     }
 
     // GET /runs returns the requests that the upstreams ran, GET /arrivals the times in ms at which
-    // requests have reached each upstream. POST with any other path takes
-    // a command: {"store": {...}, "fail": [upstream, fault, count], ...}.
+    // requests have reached each upstream, GET /leaving when each has first stated in a reply that
+    // it is leaving. POST with any other path takes a command: {"store": {...}, "fail": [upstream,
+    // fault, count], ...}.
     void serve_admin(http_exchange exchange)
     {
         json reply = json::object();
@@ -124,6 +125,12 @@
                     times.push_back(to_milliseconds(at.time_since_epoch()));
                 reply.push_back(std::move(times));
             }
+        } else if (exchange.request().target == "/leaving") {
+            reply = json::array();
+            for (const auto& it : upstreams_) {
+                const auto& at = it->stated_leaving_at();
+                reply.push_back(at ? json(to_milliseconds(at->time_since_epoch())) : json());
+            }
         } else {
             apply_command(json::parse(exchange.request().body, nullptr, false));
         }
--- a/tests/standins/platform/platformupstream.cpp
+++ b/tests/standins/platform/platformupstream.cpp
@@ -39,10 +39,12 @@
 }
 
 std::string platform_upstream::reply(int status, field_list fields, const std::string& body,
-                                     bool with_length) const
+                                     bool with_length)
 {
-    if (leaving_)
+    if (leaving_) {
         fields.emplace_back("Server-Leaving", "1");
+        stated_leaving_at_ = stated_leaving_at_.value_or(timers_.now());
+    }
     return reply_text(status, fields, body, with_length);
 }
 
--- a/tests/standins/platform/platformupstream.h
+++ b/tests/standins/platform/platformupstream.h
@@ -94,6 +94,11 @@
     /// When requests have arrived, whether or not they ran. Without status checks and requests for
     /// another upstream.
     [[nodiscard]] const std::vector<time_point>& arrivals() const { return arrivals_; }
+    /// When the first reply that states that the upstream is leaving was sent; nothing if none was.
+    [[nodiscard]] const std::optional<time_point>& stated_leaving_at() const
+    {
+        return stated_leaving_at_;
+    }
     [[nodiscard]] std::size_t connections() const { return server_.session_count(); }
 
 private:
@@ -115,7 +120,7 @@
     using field_list = std::vector<std::pair<std::string, std::string>>;
     // A reply with `fields` and what the upstream states in all of them.
     [[nodiscard]] std::string reply(int status, field_list fields, const std::string& body,
-                                    bool with_length = true) const;
+                                    bool with_length = true);
     [[nodiscard]] std::string load() const;
     [[nodiscard]] std::string result_records(const std::string& request_id) const;
 
@@ -123,6 +128,7 @@
     upstream_options options_;
     std::optional<double> limit_;
     bool leaving_ = false;
+    std::optional<time_point> stated_leaving_at_;
     time_point refused_until_{};
     std::string retry_after_;
     std::vector<run> runs_;
