gateway: shows how long state stands still and that a host is behind

The hypotheses of the incident could not be told apart. store_lost did not say how long the call had waited, so that a watch given up after 18 s looked like a refused connection; a read from another host did not say how long it took; and nothing showed that a host knew of a change that it lacked.

store_lost has waited_ms, state_read has took_ms, state_behind and state_caught_up name the revisions, and two gauges give the age of the last reply of each collection and the time for which the host has been behind. No logic is changed; tst_gateway, tst_collectionwatch and tst_collectioncopy pass.

--- a/src/libs/base/clock.h
+++ b/src/libs/base/clock.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 
 namespace ebonywick {
@@ -33,4 +34,11 @@
     return std::chrono::duration<double, std::milli>(d).count();
 }
 
+/// The duration, which must not be negative, in milliseconds, rounded down.
+[[nodiscard]] constexpr std::uint64_t whole_milliseconds(duration d)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
 } // namespace ebonywick
--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -235,7 +235,10 @@
 
 void collection_watch::send(platform::collection_call kind, std::string request, duration timeout)
 {
-    retry_.call_started(timers_.now());
+    called_at_ = timers_.now();
+    if (replied_at_ == time_point{})
+        replied_at_ = called_at_;
+    retry_.call_started(called_at_);
     reader_.emplace(collection_, kind);
     channel_.call(
         std::move(request), timeout,
@@ -254,6 +257,7 @@
         on_failure(reason_of(failure));
         return;
     }
+    replied_at_ = timers_.now();
     const std::uint64_t epoch = note_epoch(*reply);
     if (watched && platform::history_is_gone(reply->status)) {
         handlers_.call_ended("history_gone");
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -107,6 +107,10 @@
     void set_other_readers(bool exist);
     /// Sets the upper bound of the interval between calls that fail.
     void set_max_retry_pause(duration pause) { retry_.set_max_pause(pause); }
+    /// Since the store last answered a call of this collection, or since the first call.
+    [[nodiscard]] duration reply_age() const { return timers_.now() - replied_at_; }
+    /// Since the call in progress, or the one that has just ended, was sent.
+    [[nodiscard]] duration call_age() const { return timers_.now() - called_at_; }
     /// The store did not answer the last call, or refused it.
     [[nodiscard]] bool store_unavailable() const { return store_unavailable_; }
     /// Another host has applied a change with this revision of the store's `epoch`. If the change
@@ -183,6 +187,8 @@
     // Has waited once since the last success, without effect.
     bool gap_waited_ = false;
     bool store_unavailable_ = false;
+    time_point called_at_{};
+    time_point replied_at_{};
     // Newest epoch that a reply of the store has stated; 0 before the first one.
     std::uint64_t store_epoch_ = 0;
     // Newest epoch for which check_store_epoch() has repeated the watch.
--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -129,6 +129,9 @@
 // reads the change from one of them; below the delay after which it reads the newest state. A
 // host that follows relays waits as long for one of its failure domain to have the change.
 inline constexpr duration follow_delay = milliseconds{400};
+// A host that lacks a change of other hosts for this long logs it. Reading a change from another
+// host normally takes less.
+inline constexpr duration behind_log_delay = milliseconds{1500};
 // Shortest interval between two reads of another host's store snapshot, after one that succeeded
 // and after one that failed, and the timeout of a read.
 inline constexpr duration snapshot_read_interval = milliseconds{200};
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -57,6 +57,8 @@
     // Reads newer changes from another host: if this one does not watch the store, or if they
     // have not arrived from the store.
     void follow_peers(time_point now);
+    // Logs when this host is behind the others for long, and when it no longer is.
+    void note_behind(time_point now);
     // Reads what other hosts retain that a restored store has lost; once in an epoch, and only if
     // this host did not know the state before it.
     void read_retained(time_point now);
@@ -79,6 +81,7 @@
     void on_configuration(const std::vector<platform::stored_item>& items);
     void on_removed_domains(const std::vector<platform::stored_item>& items, bool is_full_list);
     void on_hosts(const std::vector<platform::stored_item>& items, bool is_full_list);
+    [[nodiscard]] collection_watch& watch_of(platform::store_collection collection);
     void on_store_contact_changed(platform::store_collection collection, std::string_view reason);
     void on_store_epoch(platform::store_collection collection, std::uint64_t epoch);
     void on_restored(platform::store_collection collection, const collection_copy& copy);
@@ -150,6 +153,9 @@
     std::optional<endpoint> failed_snapshot_source_;
     // Since when another host has had changes that this one lacks; time_point::max() if none has.
     time_point behind_since_ = time_point::max();
+    // That this host is behind has been logged.
+    bool behind_logged_ = false;
+    time_point snapshot_read_at_{};
     // Relays pass on the state of the store; this host does not watch it.
     bool follows_ = false;
     // When another live host was last known to read the store.
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -137,21 +137,30 @@
 
 void gateway::on_metrics(http_exchange exchange)
 {
-    const auto body =
-        metrics_.exposition({.config_version = routes_ ? routes_->configuration().version : 0,
-                             .upstreams = upstreams_.size(),
-                             .limited_upstreams = upstreams_.limited_count(),
-                             .calls_to_limited_upstreams = upstreams_.calls_to_limited(),
-                             .leaving_upstreams = upstreams_.leaving_count(),
-                             .calls_to_leaving_upstreams = upstreams_.calls_to_leaving(),
-                             .paused_upstreams = upstreams_.paused_count(timers_.now()),
-                             .calls_to_paused_upstreams = upstreams_.calls_to_paused(),
-                             .upstream_connections = pool_.connection_count(),
-                             .upstream_connections_opened = pool_.connections_opened(),
-                             .caller_connections = caller_server_.session_count(),
-                             .entry_hosts = peers_.entry_hosts(timers_.now()).size(),
-                             .store_epoch = store_epoch_,
-                             .log_lines_dropped = log_.dropped()});
+    const time_point now = timers_.now();
+    std::vector<std::pair<std::string_view, duration>> ages;
+    for (const auto it :
+         {platform::store_collection::configuration, platform::store_collection::upstreams,
+          platform::store_collection::removed_domains, platform::store_collection::hosts})
+        ages.emplace_back(to_string(it), watch_of(it).reply_age());
+    const auto body = metrics_.exposition(
+        {.config_version = routes_ ? routes_->configuration().version : 0,
+         .upstreams = upstreams_.size(),
+         .limited_upstreams = upstreams_.limited_count(),
+         .calls_to_limited_upstreams = upstreams_.calls_to_limited(),
+         .leaving_upstreams = upstreams_.leaving_count(),
+         .calls_to_leaving_upstreams = upstreams_.calls_to_leaving(),
+         .paused_upstreams = upstreams_.paused_count(timers_.now()),
+         .calls_to_paused_upstreams = upstreams_.calls_to_paused(),
+         .upstream_connections = pool_.connection_count(),
+         .upstream_connections_opened = pool_.connections_opened(),
+         .caller_connections = caller_server_.session_count(),
+         .entry_hosts = peers_.entry_hosts(timers_.now()).size(),
+         .store_epoch = store_epoch_,
+         .store_reply_ages = std::move(ages),
+         .state_behind =
+             behind_since_ == time_point::max() ? duration::zero() : now - behind_since_,
+         .log_lines_dropped = log_.dropped()});
     send_answer(exchange, [&](platform::connection_use use) {
         return platform::encode_answer(
             upstream_reply{200, "", {{"Content-Type", "text/plain; version=0.0.4"}}, body}, use);
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -246,7 +246,8 @@
 void gateway::read_snapshot(const endpoint& source, const applied_revisions& since,
                             std::uint64_t retained_epoch)
 {
-    next_snapshot_read_ = timers_.now() + gateway_constants::snapshot_read_interval;
+    snapshot_read_at_ = timers_.now();
+    next_snapshot_read_ = snapshot_read_at_ + gateway_constants::snapshot_read_interval;
     snapshot_channel_.set_server(source);
     snapshot_channel_.call(
         encode_snapshot_request(source, since), gateway_constants::snapshot_read_timeout,
@@ -256,11 +257,32 @@
         });
 }
 
+void gateway::note_behind(time_point now)
+{
+    const bool behind = now - behind_since_ >= gateway_constants::behind_log_delay;
+    if (behind && !std::exchange(behind_logged_, true)) {
+        const applied_revisions own = known();
+        const applied_revisions newest = peers_.newest_applied();
+        log_.write(log_level::warning, "state_behind",
+                   {{"epoch", own.epoch},
+                    {"newest_epoch", newest.epoch},
+                    {"configuration", own.configuration},
+                    {"newest_configuration", newest.configuration},
+                    {"upstreams", own.upstreams},
+                    {"newest_upstreams", newest.upstreams},
+                    {"domains", own.domains},
+                    {"newest_domains", newest.domains}});
+    } else if (behind_since_ == time_point::max() && std::exchange(behind_logged_, false)) {
+        log_.write(log_level::info, "state_caught_up", {});
+    }
+}
+
 void gateway::follow_peers(time_point now)
 {
     read_retained(now);
     const auto ahead = peers_.hosts_ahead_of(known(), now);
     behind_since_ = ahead.empty() ? time_point::max() : std::min(behind_since_, now);
+    note_behind(now);
     if (snapshot_channel_.busy() || now < next_snapshot_read_)
         return;
     // A host that reads the store may still get the change from there, and a host that knows no
@@ -309,6 +331,7 @@
     log_.write(log_level::info, "state_read",
                {{"from", to_string(source)},
                 {"outcome", snapshot ? "read" : "failed"},
+                {"took_ms", whole_milliseconds(timers_.now() - snapshot_read_at_)},
                 {"adopted", adopted},
                 {"epoch", known().epoch},
                 {"configuration", configuration_watch_.copy().revision()},
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -11,13 +11,30 @@
 using platform::store_collection;
 using platform::stored_item;
 
+collection_watch& gateway::watch_of(store_collection collection)
+{
+    switch (collection) {
+    case store_collection::configuration:
+        return configuration_watch_;
+    case store_collection::upstreams:
+        return upstream_watch_;
+    case store_collection::removed_domains:
+        return domain_watch_;
+    case store_collection::hosts:
+        break;
+    }
+    return host_watch_;
+}
+
 void gateway::on_store_contact_changed(store_collection collection, std::string_view reason)
 {
     if (reason.empty())
         log_.write(log_level::info, "store_regained", {{"collection", to_string(collection)}});
     else
         log_.write(log_level::warning, "store_lost",
-                   {{"collection", to_string(collection)}, {"reason", reason}});
+                   {{"collection", to_string(collection)},
+                    {"reason", reason},
+                    {"waited_ms", whole_milliseconds(watch_of(collection).call_age())}});
 }
 
 void gateway::on_store_epoch(store_collection collection, std::uint64_t epoch)
--- a/src/libs/metrics/gatewaymetrics.cpp
+++ b/src/libs/metrics/gatewaymetrics.cpp
@@ -169,6 +169,15 @@
         static_cast<double>(values.entry_hosts));
     set("ebonywick_gateway_store_epoch", "Restorations of the store that its replies state",
         static_cast<double>(values.store_epoch));
+    auto& ages = prometheus::BuildGauge()
+                     .Name("ebonywick_gateway_store_reply_age_seconds")
+                     .Help("Time since the store last answered a call of the collection")
+                     .Register(state_->registry);
+    for (const auto& [collection, age] : values.store_reply_ages)
+        ages.Add({{"collection", std::string{collection}}}).Set(to_seconds(age));
+    set("ebonywick_gateway_state_behind_seconds",
+        "How long this host has lacked a change that another one has",
+        to_seconds(values.state_behind));
     set("ebonywick_gateway_log_lines_dropped", "Log lines dropped since the start",
         static_cast<double>(values.log_lines_dropped));
     return prometheus::TextSerializer{}.Serialize(state_->registry.Collect());
--- a/src/libs/metrics/gatewaymetrics.h
+++ b/src/libs/metrics/gatewaymetrics.h
@@ -8,6 +8,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace ebonywick {
 
@@ -57,6 +59,10 @@
         std::size_t entry_hosts = 0;
         // As stated by the store's latest reply.
         std::uint64_t store_epoch = 0;
+        // Since the store last answered a call, by collection.
+        std::vector<std::pair<std::string_view, duration>> store_reply_ages;
+        // How long this host has lacked a change that another one has.
+        duration state_behind{};
         // Log lines dropped since the start.
         std::uint64_t log_lines_dropped = 0;
     };
