--- a/src/libs/gateway/timerqueue.h
+++ b/src/libs/gateway/timerqueue.h
@@ -49,6 +49,9 @@
     timer_queue& operator=(const timer_queue&) = delete;
 
     [[nodiscard]] time_point now() const { return now_(); }
+    /// Calls the functions of the timers that are due. The event loop does so by itself; a clock
+    /// that is set by hand needs it after each change.
+    void run_due();
 
 private:
     friend class loop_timer;
@@ -56,7 +59,6 @@
     void insert(loop_timer& timer);
     void erase(loop_timer& timer);
     void arm();
-    void run_due();
 
     now_function now_;
     boost::asio::steady_timer system_timer_;
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -45,7 +45,8 @@
 struct gateway_fixture
 {
     /// Creates two upstreams for each of the services s0 to s(shards - 1) and `orders`.
-    explicit gateway_fixture(int shards = 3)
+    explicit gateway_fixture(int shards = 3, now_function clock = boot_clock::now)
+        : timers{loop, std::move(clock)}
     {
         std::signal(SIGPIPE, SIG_IGN);
         settings.host = host_id{"h1"};
@@ -212,7 +213,7 @@
     }
 
     boost::asio::io_context loop{1};
-    timer_queue timers{loop, boot_clock::now};
+    timer_queue timers;
     event_loop_logger log{log_level::error};
     endpoint store_address = free_address();
     standin::platform_store store{loop, timers, store_address};
--- /dev/null
+++ b/tests/auto/gateway/tst_silentconnections.cpp
@@ -0,0 +1,181 @@
+// Tests of hosts whose open connections go silent without a reset, to the store and to each other.
+// The time is set by hand.
+#include "gatewayfixture.h"
+#include "silentrelay.h"
+
+#include <criterion/criterion.h>
+
+using namespace ebonywick;
+
+namespace {
+
+// A change must be in force within this time, counted from the store's acknowledgement.
+constexpr duration change_bound = 3s;
+// Until then the hosts know each other, and which of them read the newest state of the store.
+constexpr duration settling_time = 5s;
+constexpr duration step = 5ms;
+// Kind of the hosts' entries in the store.
+const std::string host_kind = "entry-hosts";
+
+/// Hosts in three failure domains that reach the store, and each other's state, through relays.
+class silent_fleet : public gateway_fixture
+{
+public:
+    explicit silent_fleet(int hosts) : gateway_fixture(1, [this] { return now_; })
+    {
+        publish();
+        for (int it = 0; it < hosts; ++it) {
+            gateway_settings own = other_host(fmt::format("h{}", it));
+            own.domain = failure_domain_id{fmt::format("z{}", it % 3)};
+            own.seeds.clear();
+            add_host(own);
+        }
+        pass(settling_time);
+        cr_assert(all_have(1));
+        relay_states();
+    }
+
+    void add_host(gateway_settings own)
+    {
+        own.store = free_address();
+        to_store.push_back(std::make_unique<silent_relay>(loop, own.store, store_address));
+        host_settings.push_back(own);
+        logs.push_back(std::make_unique<event_loop_logger>(log_level::error));
+        instances.push_back(
+            std::make_unique<gateway>(loop, timers, own, *logs.back(), 6 + instances.size()));
+        instances.back()->start();
+    }
+    /// Advances the time.
+    void pass(duration span)
+    {
+        for (const time_point end = now_ + span; now_ < end;)
+            advance();
+    }
+    /// Whether `reached` holds within `limit`.
+    template <class Condition>
+    bool reached_within(duration limit, const Condition& reached)
+    {
+        for (const time_point end = now_ + limit; now_ < end;) {
+            if (reached())
+                return true;
+            advance();
+        }
+        return reached();
+    }
+    /// Value of a gauge of a host; -1 if it is missing.
+    double gauge(std::size_t host, const std::string& name)
+    {
+        http_channel channel{loop, timers, host_settings[host].metrics};
+        std::optional<http_message> reply;
+        bool ended = false;
+        channel.call("GET /metrics HTTP/1.1\r\nHost: t\r\n\r\n", 5s,
+                     [&](std::optional<http_message> it) {
+                         reply = std::move(it);
+                         ended = true;
+                     });
+        while (!ended)
+            poll();
+        const std::string line = "\nebonywick_gateway_" + name + " ";
+        const auto at = reply ? reply->body.find(line) : std::string::npos;
+        return at == std::string::npos ? -1 : std::stod(reply->body.substr(at + line.size()));
+    }
+    bool all_have(int version)
+    {
+        for (std::size_t it = 0; it < instances.size(); ++it) {
+            if (gauge(it, "config_version") != version)
+                return false;
+        }
+        return true;
+    }
+    void change_configuration(int version) { store.put("config", "main", configuration(version)); }
+    // Whether all hosts have the version in force within the bound.
+    bool in_force(int version)
+    {
+        return reached_within(change_bound, [&] { return all_have(version); });
+    }
+
+    void silence_store()
+    {
+        for (const auto& it : to_store)
+            it->silence();
+    }
+    void silence_hosts()
+    {
+        for (const auto& it : to_state)
+            it->silence();
+    }
+
+    std::vector<std::unique_ptr<silent_relay>> to_store;
+    // To the address at which each host passes on its state.
+    std::vector<std::unique_ptr<silent_relay>> to_state;
+    std::vector<gateway_settings> host_settings;
+    std::vector<std::unique_ptr<event_loop_logger>> logs;
+    std::vector<std::unique_ptr<gateway>> instances;
+
+private:
+    // Replaces the address in each host's entry by that of a relay.
+    void relay_states()
+    {
+        for (const gateway_settings& it : host_settings) {
+            const endpoint relayed = free_address();
+            to_state.push_back(std::make_unique<silent_relay>(loop, relayed, it.control));
+            json entry = store.objects(host_kind).at(it.host.value()).at("spec");
+            entry["control"] = to_string(relayed);
+            store.put(host_kind, it.host.value(), entry);
+        }
+        pass(1s);
+    }
+    // Runs what the sockets have ready.
+    void poll()
+    {
+        while (loop.poll() != 0) {
+        }
+    }
+    void advance()
+    {
+        poll();
+        now_ += step;
+        timers.run_due();
+        poll();
+    }
+
+    time_point now_{1h};
+};
+
+} // namespace
+
+// Guards against hosts that keep an old configuration because each of them waits for changes on a
+// connection to the store that will never return anything.
+Test(silent_connections, change_is_in_force_when_all_connections_to_the_store_are_silent,
+     .timeout = 120)
+{
+    for (const int hosts : {1, 5, 13}) {
+        silent_fleet f{hosts};
+        int version = 1;
+        for (const duration after_silence : {0ms, 700ms, 2900ms, 5300ms}) {
+            f.silence_store();
+            f.pass(after_silence);
+            f.change_configuration(++version);
+            cr_assert(f.in_force(version), "%d hosts, version %d", hosts, version);
+            f.pass(1700ms);
+        }
+    }
+}
+
+// One host reaches no store, so that it reads changes from other hosts. Guards against a host that
+// knows of a change but waits for it on a connection to another host that has gone silent.
+Test(silent_connections, change_is_read_from_other_hosts_when_connections_between_hosts_are_silent,
+     .timeout = 120)
+{
+    for (const duration after_silence : {50ms, 300ms, 550ms, 800ms}) {
+        silent_fleet f{5};
+        f.to_store[4]->silence();
+        f.to_store[4]->silence_new(true);
+        f.change_configuration(2);
+        cr_assert(f.reached_within(20s, [&] { return f.all_have(2); }));
+        f.pass(after_silence);
+        f.silence_hosts();
+        f.change_configuration(3);
+        cr_assert(f.in_force(3), "after %d ms", static_cast<int>(to_milliseconds(after_silence)));
+    }
+}
