gateway: readers of the newest state renew their watches in turn

Callers saw an old configuration for 12 s and more on all hosts at once. A watch waits up to 16 s, and a connection that goes silent without a reset is noticed only when its reply is due; keep-alive sees only a peer whose system is gone. All hosts renew their watches after the same change, so all of them stood still until the same moment.

The up to three hosts that read the newest state now renew their watches in turn, one of them at least every 1.2 s (3 s for removed failure domains, whose bound is 5 s). After a change their first waits differ by their position, so that one of them finds a silent connection within 1.2 s and 0.8 s for the late reply. A call without a reply makes the host check its other waiting watches too. Other hosts keep their waits of 16 s and get the change from heartbeats.

Ruled out: shorter waits on all hosts (13 times the calls on the smallest deployment); keep-alive (a system that acknowledges passes it); a probe by stale reads (may lag by seconds).

tst_silentconnections, silent connections to the store, 1, 5 and 13 hosts: failed before (not in force within 3 s), passes now.

--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -23,13 +23,13 @@
 {
     switch (failure) {
     case channel_failure::no_reply:
-        return "no_reply";
+        return no_reply_reason;
     case channel_failure::reply_too_long:
         return too_long_reason;
     case channel_failure::reply_too_slow:
         return too_slow_reason;
     }
-    return "no_reply";
+    return no_reply_reason;
 }
 
 } // namespace
@@ -63,6 +63,14 @@
         restart_call();
 }
 
+void collection_watch::check_connection()
+{
+    if (!waits_for_changes_ || !channel_.busy())
+        return;
+    probe_next_ = true;
+    restart_call();
+}
+
 void collection_watch::catch_up(std::uint64_t epoch, std::uint64_t revision)
 {
     const bool missing =
@@ -239,6 +247,7 @@
     if (replied_at_ == time_point{})
         replied_at_ = called_at_;
     retry_.call_started(called_at_);
+    waits_for_changes_ = false;
     reader_.emplace(collection_, kind);
     channel_.call(
         std::move(request), timeout,
@@ -324,10 +333,21 @@
     const platform::freshness needed = next_freshness();
     handlers_.call_started(collection_, "watch", needed);
     const bool probe = std::exchange(probe_next_, false);
-    const duration wait = probe ? gateway_constants::probe_wait : gateway_constants::watch_wait;
+    const duration wait = probe ? gateway_constants::probe_wait : next_wait();
+    const duration margin =
+        renews_in_turn() ? gateway_constants::renewal_margin : gateway_constants::store_call_margin;
     send(platform::collection_call::watch,
          platform::encode_watch(collection_, copy_.revision(), wait, needed, store_),
-         probe ? retry_.call_timeout() : wait + gateway_constants::store_call_margin);
+         probe ? retry_.call_timeout() : wait + margin);
+    waits_for_changes_ = !probe;
+}
+
+duration collection_watch::next_wait() const
+{
+    if (!renews_in_turn())
+        return gateway_constants::watch_wait;
+    const auto turns = static_cast<duration::rep>(in_turn_ ? position_.count : position_.index + 1);
+    return std::min(gateway_constants::watch_wait, policy_.renewal_interval * turns);
 }
 
 void collection_watch::on_gap()
@@ -377,6 +397,7 @@
     const auto changed = copy_.apply(*page);
     if (!changed.empty())
         handlers_.changed(changed);
+    in_turn_ = page->items.empty() && waits_for_changes_;
     if (page->items.empty())
         start_next_call();
     else
@@ -397,6 +418,7 @@
 
 void collection_watch::on_failure(std::string_view reason)
 {
+    in_turn_ = false;
     if (std::exchange(restarting_, false)) {
         // The aborted call may have been the one that does not wait.
         probe_next_ = probe_next_ || !in_contact_;
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -5,6 +5,7 @@
 #include "gateway/collectioncopy.h"
 #include "gateway/httpchannel.h"
 #include "gateway/storeretry.h"
+#include "peers/peertable.h"
 #include "platform/collectionreader.h"
 #include "platform/storecodec.h"
 
@@ -16,6 +17,9 @@
 
 namespace ebonywick {
 
+/// Reason for lost contact if a call got no reply.
+inline constexpr std::string_view no_reply_reason = "no_reply";
+
 struct collection_handlers
 {
     /// The complete collection, after the first list, a gap in the history or adopt().
@@ -62,6 +66,10 @@
     /// stale_ok lets the store answer from a state that is some seconds old, which is
     /// cheaper.
     platform::freshness read_freshness = platform::freshness::newest;
+    /// Longest time between two watches of all readers of the newest state together. A connection
+    /// may go silent without a reset, which only a reply that is due shows, so the readers renew
+    /// their watches in turn. duration::max(): each watch waits for gateway_constants::watch_wait.
+    duration renewal_interval = duration::max();
     /// Lists read the newest state even if read_freshness is stale_ok. A stale list after a
     /// restart could show an older state than the host served before it.
     bool lists_read_newest = true;
@@ -99,6 +107,12 @@
     /// Sets the freshness of the following calls. A change from stale_ok to newest also
     /// restarts the watch in progress.
     void set_freshness(platform::freshness needed);
+    /// Sets the position of this host among the readers of the newest state, for the following
+    /// watches.
+    void set_position(reader_position position) { position_ = position; }
+    /// Another call on a connection to the store got no reply. A watch that waits for changes is
+    /// repeated on a new connection, because its own may have gone silent as well.
+    void check_connection();
     /// With other_hosts, no call is sent as long as the collection is complete.
     void set_source(change_source source);
     /// Whether another live host reads the store, so that its changes arrive by adopt() while
@@ -136,6 +150,14 @@
     void settle_due();
     void send_list();
     void send_watch();
+    // How long the next watch waits for changes.
+    [[nodiscard]] duration next_wait() const;
+    // This host reads the newest state and renews its watches in turn with the others.
+    [[nodiscard]] bool renews_in_turn() const
+    {
+        return policy_.renewal_interval != duration::max() &&
+               policy_.read_freshness == platform::freshness::newest;
+    }
     // Sends a call whose reply `reader_` decodes.
     void send(platform::collection_call kind, std::string request, duration timeout);
     void on_reply(platform::collection_call kind, const std::optional<http_message>& reply);
@@ -168,6 +190,12 @@
     std::string list_after_;
     change_source source_ = change_source::store;
     bool other_readers_ = false;
+    reader_position position_;
+    // The last watch ended without changes. After changes all readers begin to watch at the same
+    // time, and their first waits differ by their positions.
+    bool in_turn_ = false;
+    // The call in progress is a watch that waits for changes.
+    bool waits_for_changes_ = false;
     // When catch_up() first found that a change of another host was missing here;
     // time_point::max() if none is missing.
     time_point behind_since_ = time_point::max();
--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -41,6 +41,14 @@
 // Long, because each call is charged, but shorter than the 20 s of history that the store
 // keeps: after a longer wait the next watch would find its revision gone and need a list.
 inline constexpr duration watch_wait = milliseconds{16000};
+// Watches of the hosts that read the newest state are renewed in turn, at least one in this time. A
+// silent connection is thus found, and a change passed on, within 3 s of the change, and within the
+// 5 s for removed failure domains.
+inline constexpr duration renewal_interval = milliseconds{1200};
+inline constexpr duration domain_renewal_interval = milliseconds{3000};
+// A watch that is renewed in turn counts as lost if its reply is this late. Twice the reply time of
+// a slow store.
+inline constexpr duration renewal_margin = milliseconds{800};
 // Wait of a watch that is to be answered at once.
 inline constexpr duration probe_wait = milliseconds{1};
 // A watch without a reply this long after its wait counts as lost. Also the limit for data
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -159,10 +159,10 @@
     // lists at the start read the newest state, so the watches may lag until heartbeats have
     // arrived.
     const bool others_heard = now - started_at_ > gateway_constants::peer_discovery_time;
-    const auto needed =
-        others_heard && peers_.is_newest_reader(gateway_constants::newest_reader_count, now)
-            ? platform::freshness::newest
-            : platform::freshness::stale_ok;
+    const auto position =
+        others_heard ? peers_.newest_reader_position(gateway_constants::newest_reader_count, now)
+                     : std::nullopt;
+    const auto needed = position ? platform::freshness::newest : platform::freshness::stale_ok;
     const bool other_readers = peers_.other_readers(now);
     if (other_readers)
         other_reader_seen_ = now;
@@ -178,6 +178,7 @@
          {&configuration_watch_, &upstream_watch_, &domain_watch_, &host_watch_}) {
         it->set_other_readers(other_readers);
         it->set_source(source);
+        it->set_position(position.value_or(reader_position{}));
         it->set_freshness(needed);
         it->set_max_retry_pause(probes ? gateway_constants::max_store_retry_pause
                                        : gateway_constants::max_idle_store_retry_pause);
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -28,13 +28,21 @@
 
 void gateway::on_store_contact_changed(store_collection collection, std::string_view reason)
 {
-    if (reason.empty())
+    if (reason.empty()) {
         log_.write(log_level::info, "store_regained", {{"collection", to_string(collection)}});
-    else
-        log_.write(log_level::warning, "store_lost",
-                   {{"collection", to_string(collection)},
-                    {"reason", reason},
-                    {"waited_ms", whole_milliseconds(watch_of(collection).call_age())}});
+        return;
+    }
+    log_.write(log_level::warning, "store_lost",
+               {{"collection", to_string(collection)},
+                {"reason", reason},
+                {"waited_ms", whole_milliseconds(watch_of(collection).call_age())}});
+    if (reason != no_reply_reason)
+        return;
+    for (collection_watch* it :
+         {&configuration_watch_, &upstream_watch_, &domain_watch_, &host_watch_}) {
+        if (it != &watch_of(collection))
+            it->check_connection();
+    }
 }
 
 void gateway::on_store_epoch(store_collection collection, std::uint64_t epoch)
--- a/src/libs/peers/peertable.cpp
+++ b/src/libs/peers/peertable.cpp
@@ -322,17 +322,23 @@
     return found == peers_.end() ? own_reads_store_ : found->second.last_heartbeat->reads_store;
 }
 
-bool peer_table::is_newest_reader(std::size_t count, time_point now) const
+std::optional<reader_position> peer_table::newest_reader_position(std::size_t max_count,
+                                                                  time_point now) const
 {
+    std::optional<std::size_t> own_index;
+    std::size_t count = 0;
     for (const host_record* it : ranked_hosts(now, rank_filter::alive)) {
+        if (count == max_count)
+            break;
         if (!reads_store(*it))
             continue;
         if (it == &self_)
-            return true;
-        if (--count == 0)
-            return false;
+            own_index = count;
+        ++count;
     }
-    return false;
+    if (!own_index)
+        return std::nullopt;
+    return reader_position{*own_index, count};
 }
 
 bool peer_table::other_readers(time_point now) const
--- a/src/libs/peers/peertable.h
+++ b/src/libs/peers/peertable.h
@@ -16,6 +16,16 @@
 
 namespace ebonywick {
 
+/// Place of a host among those that read the newest state of the store.
+struct reader_position
+{
+    // Below `count`.
+    std::size_t index = 0;
+    std::size_t count = 1;
+
+    auto operator<=>(const reader_position&) const = default;
+};
+
 /// This host and all other registered hosts.
 ///
 /// In a small fleet all hosts send heartbeats to each other. In a large one only the relays do,
@@ -64,9 +74,14 @@
     /// True if this host is one of the first `count` live hosts in the ranking, which is the same
     /// at all hosts.
     [[nodiscard]] bool ranks_among_first(std::size_t count, time_point now) const;
-    /// True if this host is one of the first `count` live hosts in contact with the store; these
-    /// read its newest state.
-    [[nodiscard]] bool is_newest_reader(std::size_t count, time_point now) const;
+    /// Position of this host among the first `max_count` live hosts in contact with the store,
+    /// which read its newest state; nothing if it is not one of them.
+    [[nodiscard]] std::optional<reader_position> newest_reader_position(std::size_t max_count,
+                                                                        time_point now) const;
+    [[nodiscard]] bool is_newest_reader(std::size_t max_count, time_point now) const
+    {
+        return newest_reader_position(max_count, now).has_value();
+    }
     /// True if another live host is in contact with the store.
     [[nodiscard]] bool other_readers(time_point now) const;
     /// Number of hosts among which the limits of the fleet are divided, with this one: the entry
