gateway: one renewed watch verifies all collections, and late changes are announced

And a host that had found a silent connection told the others only with its next heartbeat, so that a change could take 3 s.

Only the watch of the configuration is renewed, every 1.6 s by one of the readers. Its reply states the revision of the whole store. If that is beyond what is known of another collection, and the revisions between are not all those of known changes, that collection's watch is repeated on a new connection; a later change of another collection does not hide the revision (revision_ledger). A change that a call in doubt returns is announced at once, and hosts that do not get it from the store within 100 ms read it from the host that announced it.

tst_silentconnections: change_of_one_collection_is_known_when_its_connections_are_silent is new; with the readers' turns alone it would not hold.

--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -68,7 +68,25 @@
     if (!waits_for_changes_ || !channel_.busy())
         return;
     probe_next_ = true;
+    repeat_in_doubt();
+}
+
+void collection_watch::repeat_in_doubt()
+{
     restart_call();
+    in_doubt_ = true;
+}
+
+void collection_watch::verify(std::uint64_t store_revision, const revision_ledger& known)
+{
+    if (!complete() || needs_list_)
+        return;
+    if (std::exchange(verified_epoch_, copy_.epoch()) != copy_.epoch())
+        verified_ = 0;
+    if (known.accounts_for(std::max(verified_, copy_.revision()), store_revision))
+        verified_ = std::max(verified_, store_revision);
+    else if (waits_for_changes_ && channel_.busy())
+        repeat_in_doubt();
 }
 
 void collection_watch::catch_up(std::uint64_t epoch, std::uint64_t revision)
@@ -108,6 +126,8 @@
 bool collection_watch::adopt(const collection_update& update)
 {
     std::vector<platform::stored_item> changed;
+    if (update.page.epoch == copy_.epoch())
+        handlers_.changes_read(0, update.page);
     switch (copy_.adopt(update, changed)) {
     case collection_copy::adoption::ignored:
         return false;
@@ -318,6 +338,7 @@
         needs_list_ = false;
         list_after_.clear();
         const auto list = std::exchange(listed_so_far_, {});
+        handlers_.changes_read(0, list);
         if (copy_.replace(list)) {
             retain();
             handlers_.listed(copy_.list());
@@ -394,10 +415,15 @@
     if (page->skipped > 0)
         handlers_.objects_skipped(collection_, page->skipped);
     page->epoch = epoch;
+    handlers_.changes_read(copy_.revision(), *page);
     const auto changed = copy_.apply(*page);
     if (!changed.empty())
         handlers_.changed(changed);
+    if (std::exchange(in_doubt_, false) && !changed.empty())
+        handlers_.late_change();
     in_turn_ = page->items.empty() && waits_for_changes_;
+    if (in_turn_ && renews_in_turn())
+        handlers_.renewed(page->revision);
     if (page->items.empty())
         start_next_call();
     else
@@ -427,6 +453,7 @@
     }
     handlers_.call_ended("failed");
     probe_next_ = true;
+    in_doubt_ = true;
     if (reason == earlier_epoch_reason)
         next_call_newest_ = true;
     store_unavailable_ = !reason.starts_with(unreadable_reason) && reason != too_long_reason &&
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -4,6 +4,7 @@
 
 #include "gateway/collectioncopy.h"
 #include "gateway/httpchannel.h"
+#include "gateway/revisionledger.h"
 #include "gateway/storeretry.h"
 #include "peers/peertable.h"
 #include "platform/collectionreader.h"
@@ -53,6 +54,17 @@
         call_started;
     /// Whether a call may be sent now; while it may not, the watch waits.
     std::function<bool(platform::store_collection)> may_call;
+    /// Changes after the revision `from` were read; see revision_ledger::note_changes().
+    std::function<void(std::uint64_t from, const platform::collection_page&)> changes_read =
+        [](auto, const auto&) {
+        };
+    /// A call that replaces one without a reply has returned changes; other hosts may lack them.
+    std::function<void()> late_change = [] {
+    };
+    /// A watch that is renewed in turn has ended without changes; the newest change of the whole
+    /// store has this revision.
+    std::function<void(std::uint64_t store_revision)> renewed = [](auto) {
+    };
     /// A call has ended with `ok`, `failed` or `history_gone`. Restarted calls do not count.
     std::function<void(std::string_view outcome)> call_ended;
 };
@@ -113,6 +125,10 @@
     /// Another call on a connection to the store got no reply. A watch that waits for changes is
     /// repeated on a new connection, because its own may have gone silent as well.
     void check_connection();
+    /// The whole store is at this revision. Unless the changes since the last reply are all known,
+    /// as changes of other collections, a watch that waits for changes is repeated on a new
+    /// connection.
+    void verify(std::uint64_t store_revision, const revision_ledger& known);
     /// With other_hosts, no call is sent as long as the collection is complete.
     void set_source(change_source source);
     /// Whether another live host reads the store, so that its changes arrive by adopt() while
@@ -150,6 +166,8 @@
     void settle_due();
     void send_list();
     void send_watch();
+    // Repeats the watch in progress, whose connection may have gone silent.
+    void repeat_in_doubt();
     // How long the next watch waits for changes.
     [[nodiscard]] duration next_wait() const;
     // This host reads the newest state and renews its watches in turn with the others.
@@ -194,8 +212,13 @@
     // The last watch ended without changes. After changes all readers begin to watch at the same
     // time, and their first waits differ by their positions.
     bool in_turn_ = false;
+    // Up to this revision of verified_epoch_, the collection has no change that is not in the copy.
+    std::uint64_t verified_ = 0;
+    std::uint64_t verified_epoch_ = 0;
     // The call in progress is a watch that waits for changes.
     bool waits_for_changes_ = false;
+    // The call in progress replaces one whose connection may have gone silent.
+    bool in_doubt_ = false;
     // When catch_up() first found that a change of another host was missing here;
     // time_point::max() if none is missing.
     time_point behind_since_ = time_point::max();
--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -41,11 +41,13 @@
 // Long, because each call is charged, but shorter than the 20 s of history that the store
 // keeps: after a longer wait the next watch would find its revision gone and need a list.
 inline constexpr duration watch_wait = milliseconds{16000};
-// Watches of the hosts that read the newest state are renewed in turn, at least one in this time. A
-// silent connection is thus found, and a change passed on, within 3 s of the change, and within the
-// 5 s for removed failure domains.
-inline constexpr duration renewal_interval = milliseconds{1200};
-inline constexpr duration domain_renewal_interval = milliseconds{3000};
+// The hosts that read the newest state renew their watches of the configuration in turn, at least
+// one of them in this time. A silent connection is thus found, and a change passed on to all hosts,
+// within 3 s of the change.
+inline constexpr duration renewal_interval = milliseconds{1600};
+// After the reply to such a watch, the other collections have this long to show the changes up to
+// the revision that it states. Longer than the pauses below.
+inline constexpr duration verification_delay = milliseconds{600};
 // A watch that is renewed in turn counts as lost if its reply is this late. Twice the reply time of
 // a slow store.
 inline constexpr duration renewal_margin = milliseconds{800};
@@ -140,6 +142,8 @@
 // A host that lacks a change of other hosts for this long logs it. Reading a change from another
 // host normally takes less.
 inline constexpr duration behind_log_delay = milliseconds{1500};
+// The same for a change that another host has announced, which the store may not pass on.
+inline constexpr duration announced_change_delay = milliseconds{100};
 // Shortest interval between two reads of another host's store snapshot, after one that succeeded
 // and after one that failed, and the timeout of a read.
 inline constexpr duration snapshot_read_interval = milliseconds{200};
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -84,20 +84,16 @@
                            {.pause = gateway_constants::configuration_pause,
                             .read_freshness = platform::freshness::stale_ok,
                             .renewal_interval = gateway_constants::renewal_interval},
-                           handlers_for([this](const auto& items, bool /*is_full_list*/) {
-                               on_configuration(items);
-                           })),
+                           configuration_handlers()),
       upstream_watch_(loop, timers, settings.store, store_collection::upstreams,
                       {.pause = gateway_constants::upstream_pause,
                        .read_freshness = platform::freshness::stale_ok,
-                       .renewal_interval = gateway_constants::renewal_interval,
                        .missing_retention = gateway_constants::restored_entry_wait,
                        .outdated_retention = gateway_constants::restored_state_wait},
                       upstream_handlers()),
       domain_watch_(loop, timers, settings.store, store_collection::removed_domains,
                     {.pause = gateway_constants::configuration_pause,
                      .read_freshness = platform::freshness::stale_ok,
-                     .renewal_interval = gateway_constants::domain_renewal_interval,
                      .lists_read_newest = false,
                      .missing_retention = gateway_constants::restored_state_wait,
                      .outdated_retention = gateway_constants::restored_state_wait},
@@ -142,7 +138,10 @@
                      log_.flush(timers_.now());
                      log_timer_.set_after(gateway_constants::log_flush_interval);
                  }),
-      leave_timer_(timers, [this] { check_leave_progress(); })
+      leave_timer_(timers, [this] { check_leave_progress(); }),
+      announcement_timer_(timers, [this] { announce_change(); }),
+      follow_timer_(timers, [this] { follow_peers(timers_.now()); }),
+      verification_timer_(timers, [this] { verify_collections(); })
 {
 }
 
@@ -188,11 +187,27 @@
                 return collection == store_collection::configuration ||
                        !configuration_watch_.store_unavailable();
             },
+            [this](std::uint64_t from, const platform::collection_page& page) {
+                known_changes_.note_changes(from, page);
+            },
+            [this] { announcement_timer_.set_after(duration::zero()); },
+            [](std::uint64_t /*store_revision*/) {},
             [this](std::string_view outcome) {
                 metrics_.store_call(outcome);
             }};
 }
 
+collection_handlers gateway::configuration_handlers()
+{
+    collection_handlers out =
+        handlers_for([this](const auto& items, bool /*is_full_list*/) { on_configuration(items); });
+    out.renewed = [this](std::uint64_t store_revision) {
+        renewed_revision_ = store_revision;
+        verification_timer_.set_after(gateway_constants::verification_delay);
+    };
+    return out;
+}
+
 collection_handlers gateway::upstream_handlers()
 {
     collection_handlers out = handlers_for([this](const auto& items, bool is_full_list) {
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -89,6 +89,8 @@
                     const std::vector<platform::stored_item>& items);
     void on_heartbeat_due();
     void on_peer_message(const peer_message& message, const endpoint& from);
+    // Tells the other hosts at once of changes that they do not have yet.
+    void announce_change();
     // Asks relays for digests; only in a large fleet.
     void query_relays(time_point now);
     [[nodiscard]] host_heartbeat own_heartbeat() const;
@@ -108,7 +110,10 @@
     [[nodiscard]] duration grace_part(double ratio) const;
     // Whether this host, which is leaving, can still answer a request that arrives now.
     [[nodiscard]] bool can_end_before_leaving(const route& via, duration budget, time_point now);
+    [[nodiscard]] collection_handlers configuration_handlers();
     [[nodiscard]] collection_handlers upstream_handlers();
+    // Checks that no collection has missed a change up to renewed_revision_.
+    void verify_collections();
     // Registers this host again if a restored store has lost its entry.
     void repeat_registration();
     [[nodiscard]] collection_handlers handlers_for(
@@ -188,6 +193,15 @@
     applied_revisions newest_peer_changes_;
     loop_timer log_timer_;
     loop_timer leave_timer_;
+    loop_timer announcement_timer_;
+    loop_timer follow_timer_;
+    // Another host has announced a change, which is to be read from it without the usual wait for
+    // the store.
+    bool change_announced_ = false;
+    loop_timer verification_timer_;
+    // Store revision that the last renewed watch of the configuration has stated.
+    std::uint64_t renewed_revision_ = 0;
+    revision_ledger known_changes_;
     std::function<void()> on_left_;
     // Requests that this host has ended without a result because it is leaving.
     std::uint64_t requests_given_up_ = 0;
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -78,6 +78,15 @@
         own_heartbeat(), 0, 0, {}, upstreams_.limit_reports(now), upstreams_.leaving_reports(now)};
 }
 
+void gateway::announce_change()
+{
+    if (!applied().is_ahead_of(peers_.newest_applied()))
+        return;
+    peer_message message = own_message();
+    message.announces_change = true;
+    heartbeat_link_.send(message, peers_.heartbeat_targets(false));
+}
+
 void gateway::query_relays(time_point now)
 {
     if (peers_.small_fleet())
@@ -95,6 +104,10 @@
         return;
     peers_.record_heartbeat(message.heartbeat, now);
     configuration_watch_.check_store_epoch(message.heartbeat.applied.epoch);
+    if (message.announces_change && message.heartbeat.applied.is_ahead_of(known())) {
+        change_announced_ = true;
+        follow_timer_.set_after(gateway_constants::announced_change_delay);
+    }
     for (const limit_report& it : message.limits) {
         if (const upstream_pointer of = upstreams_.find_reported(it.upstream))
             on_limit_stated(of, it.limit, now - it.age, "host");
@@ -284,13 +297,20 @@
     const auto ahead = peers_.hosts_ahead_of(known(), now);
     behind_since_ = ahead.empty() ? time_point::max() : std::min(behind_since_, now);
     note_behind(now);
-    if (snapshot_channel_.busy() || now < next_snapshot_read_)
+    change_announced_ = change_announced_ && !ahead.empty();
+    if (snapshot_channel_.busy())
         return;
+    if (now < next_snapshot_read_) {
+        if (change_announced_)
+            follow_timer_.set(next_snapshot_read_);
+        return;
+    }
     // A host that reads the store may still get the change from there, and a host that knows no
     // source in its failure domain may learn of one.
     const bool waits =
         reads_store() || (!ahead.empty() && ahead.front().domain != settings_.domain);
-    if (waits && (ahead.empty() || now - behind_since_ < gateway_constants::follow_delay))
+    if (waits && !change_announced_ &&
+        (ahead.empty() || now - behind_since_ < gateway_constants::follow_delay))
         return;
     std::vector<endpoint> sources;
     // Hosts of the own failure domain come first, and are enough.
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -45,11 +45,19 @@
     }
 }
 
+void gateway::verify_collections()
+{
+    for (collection_watch* it : {&upstream_watch_, &domain_watch_, &host_watch_})
+        it->verify(renewed_revision_, known_changes_);
+}
+
 void gateway::on_store_epoch(store_collection collection, std::uint64_t epoch)
 {
     const std::uint64_t before = std::exchange(store_epoch_, std::max(store_epoch_, epoch));
     if (epoch <= before)
         return;
+    known_changes_.clear();
+    verification_timer_.cancel();
     for (collection_watch* it :
          {&configuration_watch_, &upstream_watch_, &domain_watch_, &host_watch_})
         it->set_store_epoch(epoch);
--- a/src/libs/peers/hostrecord.cpp
+++ b/src/libs/peers/hostrecord.cpp
@@ -134,6 +134,7 @@
     }
     for (const std::uint64_t it : message.leaving_upstreams)
         out.add_leaving_upstream(it);
+    out.set_announces_change(message.announces_change);
     return out.SerializeAsString();
 }
 
@@ -165,6 +166,7 @@
                               (state & reads_store_bit) != 0});
     }
     out.leaving_upstreams.assign(in.leaving_upstream().begin(), in.leaving_upstream().end());
+    out.announces_change = in.announces_change();
     for (int it = 0; it < in.limit_upstream_size(); ++it) {
         const double rate = in.limit_rate(it);
         if (!std::isfinite(rate))
--- a/src/libs/peers/hostrecord.h
+++ b/src/libs/peers/hostrecord.h
@@ -110,6 +110,8 @@
     std::vector<limit_report> limits = {};
     // upstream_table::key_of() of upstreams that have stated that they are leaving.
     std::vector<std::uint64_t> leaving_upstreams = {};
+    // The sender has read a change from the store that other hosts may not get by themselves.
+    bool announces_change = false;
 
     auto operator<=>(const peer_message&) const = default;
 };
--- a/tests/auto/gateway/silentrelay.h
+++ b/tests/auto/gateway/silentrelay.h
@@ -10,9 +10,9 @@
 
 #include <algorithm>
 #include <array>
-#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ebonywick {
@@ -27,14 +27,12 @@
         accept();
     }
 
-    /// All open connections for which `selected` is true, by their order, go silent.
-    void silence(const std::function<bool(std::size_t)>& selected = [](std::size_t) {
-        return true;
-    })
+    /// All open connections go silent whose first request contains this text.
+    void silence(std::string_view request = "")
     {
         std::erase_if(links_, [](const auto& it) { return !it->open; });
-        for (std::size_t it = 0; it < links_.size(); ++it)
-            links_[it]->silent = links_[it]->silent || selected(it);
+        for (const link_pointer& it : links_)
+            it->silent = it->silent || it->first_request.find(request) != std::string::npos;
     }
     /// Connections that are opened from now on go silent at once, or no longer do.
     void silence_new(bool silent) { new_silent_ = silent; }
@@ -55,6 +53,7 @@
         tcp::socket server;
         std::array<char, 16384> from_client{};
         std::array<char, 16384> from_server{};
+        std::string first_request;
         bool silent = false;
         bool open = true;
     };
@@ -99,6 +98,8 @@
                                      return;
                                  }
                                  error_code failed;
+                                 if (it->first_request.empty())
+                                     it->first_request.assign(buf.data(), n);
                                  if (!it->silent)
                                      boost::asio::write(to, boost::asio::buffer(buf, n), failed);
                                  pass_on(it, from, to, buf);
--- a/tests/auto/gateway/tst_silentconnections.cpp
+++ b/tests/auto/gateway/tst_silentconnections.cpp
@@ -94,10 +94,11 @@
         return reached_within(change_bound, [&] { return all_have(version); });
     }
 
-    void silence_store()
+    /// Connections on which the first request contains this text.
+    void silence_store(std::string_view request = "")
     {
         for (const auto& it : to_store)
-            it->silence();
+            it->silence(request);
     }
     void silence_hosts()
     {
@@ -162,6 +163,33 @@
     }
 }
 
+// Guards against a collection that stands still on all hosts because only its connections have gone
+// silent, also if a later change of another collection hides the revision of its own.
+Test(silent_connections, change_of_one_collection_is_known_when_its_connections_are_silent,
+     .timeout = 120)
+{
+    for (const duration later_change : {100ms, 900ms, 30000ms}) {
+        silent_fleet f{5};
+        f.silence_store("objects/servers");
+        json entry = f.entries.front();
+        entry["address"] = to_string(free_address());
+        f.store.put("servers", "i-new", entry);
+        f.pass(std::min<duration>(later_change, change_bound));
+        if (later_change < change_bound)
+            f.change_configuration(2);
+        const auto known_on = [&](std::size_t it) {
+            return f.gauge(it, "upstreams") == static_cast<double>(f.entries.size() + 1);
+        };
+        cr_assert(f.reached_within(std::max<duration>(change_bound - later_change, 0s), [&] {
+            for (std::size_t it = 0; it < f.instances.size(); ++it) {
+                if (!known_on(it))
+                    return false;
+            }
+            return true;
+        }));
+    }
+}
+
 // One host reaches no store, so that it reads changes from other hosts. Guards against a host that
 // knows of a change but waits for it on a connection to another host that has gone silent.
 Test(silent_connections, change_is_read_from_other_hosts_when_connections_between_hosts_are_silent,
