gateway: reads from another host do not wait for a silent connection

Callers saw an old configuration on single hosts, in any failure domain, for 3.0 to 3.5 s while all other hosts had the new one. Such a host knows from heartbeats that it is behind and reads the change from another host, on the connection kept from its last read. If that has gone silent, the read ended after 1 s, and a pause of 1 s followed.

A kept connection now has 300 ms to reply; then the read is repeated on a new one. After a failed read from one host the next source is asked at once; only a host that starts, which has few seeds, keeps the pause.

Ruled out: closing the connection after each read (one more round trip for each change on each host of a large fleet).

--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -149,6 +149,9 @@
 inline constexpr duration snapshot_read_interval = milliseconds{200};
 inline constexpr duration snapshot_read_pause = milliseconds{1000};
 inline constexpr duration snapshot_read_timeout = milliseconds{1000};
+// The same on a connection that was kept open and may have gone silent. A read that gets no reply
+// is repeated on a new one. A host replies within milliseconds, a slow one within 200 ms.
+inline constexpr duration kept_snapshot_read_timeout = milliseconds{300};
 // Number of connections opened ahead of requests with each heartbeat; a new connection
 // occupies a slot of the upstream for 6 ms.
 inline constexpr std::size_t max_connections_warmed_per_heartbeat = 40;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -68,6 +68,8 @@
                        std::uint64_t retained_epoch);
     // False if the reply is not a snapshot.
     bool adopt_snapshot(const endpoint& source, const std::optional<http_message>& reply);
+    void log_snapshot_read(const endpoint& source, std::string_view outcome,
+                           const std::string& adopted);
     void refuse(http_exchange& exchange, int status, std::string_view reason,
                 std::string_view request_id);
     // Takes over what a reply says about the state of its upstream.
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -263,9 +263,17 @@
     snapshot_read_at_ = timers_.now();
     next_snapshot_read_ = snapshot_read_at_ + gateway_constants::snapshot_read_interval;
     snapshot_channel_.set_server(source);
+    const bool kept = snapshot_channel_.has_kept_connection();
     snapshot_channel_.call(
-        encode_snapshot_request(source, since), gateway_constants::snapshot_read_timeout,
-        [this, source, retained_epoch](const std::optional<http_message>& reply) {
+        encode_snapshot_request(source, since),
+        kept ? gateway_constants::kept_snapshot_read_timeout
+             : gateway_constants::snapshot_read_timeout,
+        [this, source, since, retained_epoch, kept](const std::optional<http_message>& reply) {
+            if (!reply && kept) {
+                log_snapshot_read(source, "repeated", "");
+                read_snapshot(source, since, retained_epoch);
+                return;
+            }
             if (adopt_snapshot(source, reply))
                 retained_epoch_ = std::max(retained_epoch_, retained_epoch);
         });
@@ -347,17 +355,26 @@
         adopt(host_watch_, snapshot->hosts, "hosts");
     } else {
         failed_snapshot_source_ = source;
-        next_snapshot_read_ = timers_.now() + gateway_constants::snapshot_read_pause;
+        // Another host may have the change too. The seeds of a host that starts are few.
+        if (!configuration_watch_.complete())
+            next_snapshot_read_ = timers_.now() + gateway_constants::snapshot_read_pause;
+        follow_timer_.set(next_snapshot_read_);
     }
+    log_snapshot_read(source, snapshot ? "read" : "failed", adopted);
+    return snapshot.has_value();
+}
+
+void gateway::log_snapshot_read(const endpoint& source, std::string_view outcome,
+                                const std::string& adopted)
+{
     log_.write(log_level::info, "state_read",
                {{"from", to_string(source)},
-                {"outcome", snapshot ? "read" : "failed"},
+                {"outcome", outcome},
                 {"took_ms", whole_milliseconds(timers_.now() - snapshot_read_at_)},
                 {"adopted", adopted},
                 {"epoch", known().epoch},
                 {"configuration", configuration_watch_.copy().revision()},
                 {"upstreams", upstream_watch_.copy().revision()}});
-    return snapshot.has_value();
 }
 
 void gateway::warm_connections()
--- a/src/libs/gateway/httpchannel.cpp
+++ b/src/libs/gateway/httpchannel.cpp
@@ -199,6 +199,11 @@
     server_ = server;
 }
 
+bool http_channel::has_kept_connection() const
+{
+    return connection_ && connection_->connected && !busy();
+}
+
 void http_channel::abort()
 {
     if (connection_)
--- a/src/libs/gateway/httpchannel.h
+++ b/src/libs/gateway/httpchannel.h
@@ -44,6 +44,8 @@
     [[nodiscard]] bool busy() const { return handler_ != nullptr; }
     /// Why the last call that failed did so.
     [[nodiscard]] channel_failure last_failure() const { return last_failure_; }
+    /// A connection of an earlier call is open. It may have gone silent.
+    [[nodiscard]] bool has_kept_connection() const;
     /// Fails the call in progress and closes the connection.
     void abort();
     /// The next call goes to `server`; no call may be in progress.
