gateway: a change is not missed because a lagging read states its revision

Reads with stale_ok may return data that is seconds old, and the store's page says that `at` is the store's revision. If such a watch states a revision whose change it does not contain yet, the host counts as complete beyond the change: its next watch starts there, and it does not take itself to be behind the hosts whose heartbeats show the change. It would keep the old configuration until the next version.

Heartbeats name the newest change of the configuration. If that is newer than the own newest change although the own revision is not older, the newest state is listed, once for each such revision, and change_missing is logged. Only the configuration: the newest change of collections with deletions differs between hosts.

tst_silentconnections, change_is_in_force_when_lagging_reads_state_its_revision: failed before (version 2 not in force within 3 s), passes now.

--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -107,6 +107,26 @@
     restart_call();
 }
 
+bool collection_watch::list_missing_change(std::uint64_t epoch, std::uint64_t revision)
+{
+    if (!complete() || needs_list_ || source_ == change_source::other_hosts ||
+        epoch != copy_.epoch() || revision > copy_.revision() || revision <= copy_.newest_change())
+        return false;
+    if (std::exchange(listed_for_epoch_, epoch) != epoch)
+        listed_for_ = 0;
+    if (std::exchange(listed_for_, std::max(listed_for_, revision)) >= revision)
+        return false;
+    next_call_newest_ = true;
+    needs_list_ = true;
+    if (channel_.busy()) {
+        restarting_ = true;
+        channel_.abort();
+    } else {
+        start_next_call();
+    }
+    return true;
+}
+
 void collection_watch::restart_call()
 {
     // During a pause there is no call to abort; the next call uses the new freshness.
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -147,6 +147,10 @@
     /// does not arrive here within gateway_constants::catch_up_delay, the watch is restarted and
     /// reads the newest state. To be called regularly.
     void catch_up(std::uint64_t epoch, std::uint64_t revision);
+    /// Another host has applied a change with this revision of the store's `epoch`, and this copy
+    /// does not contain it although it counts as complete beyond that revision. The newest state is
+    /// listed once for each such revision. Returns whether it is now.
+    bool list_missing_change(std::uint64_t epoch, std::uint64_t revision);
     /// The store is in this epoch, as another collection's reply states. A copy of an earlier epoch
     /// is replaced.
     void set_store_epoch(std::uint64_t epoch);
@@ -215,6 +219,9 @@
     // Up to this revision of verified_epoch_, the collection has no change that is not in the copy.
     std::uint64_t verified_ = 0;
     std::uint64_t verified_epoch_ = 0;
+    // Newest revision for which list_missing_change() has listed the state.
+    std::uint64_t listed_for_ = 0;
+    std::uint64_t listed_for_epoch_ = 0;
     // The call in progress is a watch that waits for changes.
     bool waits_for_changes_ = false;
     // The call in progress replaces one whose connection may have gone silent.
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -202,6 +202,11 @@
     configuration_watch_.catch_up(epoch, newest_peer_changes_.configuration);
     upstream_watch_.catch_up(epoch, newest_peer_changes_.upstreams);
     domain_watch_.catch_up(epoch, newest_peer_changes_.domains);
+    if (configuration_watch_.list_missing_change(epoch, newest_peer_changes_.configuration))
+        log_.write(log_level::warning, "change_missing",
+                   {{"collection", to_string(platform::store_collection::configuration)},
+                    {"revision", newest_peer_changes_.configuration},
+                    {"known", configuration_watch_.copy().revision()}});
     newest_peer_changes_ = peers_.newest_applied();
 }
 
--- a/tests/auto/gateway/tst_silentconnections.cpp
+++ b/tests/auto/gateway/tst_silentconnections.cpp
@@ -207,3 +207,16 @@
         cr_assert(f.in_force(3), "after %d ms", static_cast<int>(to_milliseconds(after_silence)));
     }
 }
+
+// Reads that may lag state a revision that their content does not contain yet. Guards against hosts
+// that take themselves for complete and read a change from neither the store nor other hosts.
+Test(silent_connections, change_is_in_force_when_lagging_reads_state_its_revision, .timeout = 120)
+{
+    silent_fleet f{5};
+    f.store.set_faults({.blind_stale_watches = true});
+    for (const int version : {2, 3}) {
+        f.change_configuration(version);
+        cr_assert(f.in_force(version), "version %d", version);
+        f.pass(700ms);
+    }
+}
--- a/tests/standins/platform/platformstore.cpp
+++ b/tests/standins/platform/platformstore.cpp
@@ -107,8 +107,7 @@
         return;
     }
     if (query.contains("watch")) {
-        watch(std::move(exchange), kind, parse_number(query, "watch"),
-              std::chrono::milliseconds{parse_number(query, "wait_ms")});
+        watch(std::move(exchange), kind, query);
         return;
     }
     read(exchange, kind, query);
@@ -150,16 +149,23 @@
     return out;
 }
 
-void platform_store::watch(http_exchange exchange, const std::string& kind, std::uint64_t after,
-                           duration wait)
+json platform_store::watch_answer(const std::string& kind, std::uint64_t after, bool stale) const
 {
+    const bool blind = stale && faults_.blind_stale_watches;
+    return {{"events", blind ? json::array() : events_after(kind, after)}, {"at", revision_}};
+}
+
+void platform_store::watch(http_exchange exchange, const std::string& kind,
+                           const std::map<std::string, std::string>& query)
+{
+    const std::uint64_t after = parse_number(query, "watch");
+    const bool stale = query.contains("stale_ok");
     if (after < history_begin_ || after > revision_) {
         answer(exchange, 410, {{"error", "history is gone"}});
         return;
     }
-    const json events = events_after(kind, after);
-    if (!events.empty()) {
-        answer(exchange, 200, {{"events", events}, {"at", revision_}});
+    if (!events_after(kind, after).empty()) {
+        answer(exchange, 200, watch_answer(kind, after, stale));
         return;
     }
     const auto position = watchers_.emplace(watchers_.end());
@@ -171,8 +177,9 @@
     watcher& it = **position;
     it.kind = kind;
     it.after = after;
+    it.stale = stale;
     it.exchange.on_disconnect([this, position] { watchers_.erase(position); });
-    it.timer.set_after(wait);
+    it.timer.set_after(std::chrono::milliseconds{parse_number(query, "wait_ms")});
 }
 
 void platform_store::record_change(const std::string& kind, const json& object, bool deleted)
@@ -189,7 +196,7 @@
         }
         const auto due = std::move(*it);
         it = watchers_.erase(it);
-        answer(due->exchange, 200, {{"events", events_after(kind, due->after)}, {"at", revision_}});
+        answer(due->exchange, 200, watch_answer(kind, due->after, due->stale));
     }
 }
 
--- a/tests/standins/platform/platformstore.h
+++ b/tests/standins/platform/platformstore.h
@@ -28,6 +28,8 @@
     duration delay{};
     // Number of revisions by which reads with `stale_ok` lag behind.
     std::uint64_t lag = 0;
+    // Watches with `stale_ok` state the newest revision, but do not return the changes.
+    bool blind_stale_watches = false;
 
     auto operator<=>(const store_faults&) const = default;
 };
@@ -85,6 +87,7 @@
         http_exchange exchange;
         std::string kind;
         std::uint64_t after = 0;
+        bool stale = false;
         loop_timer timer;
     };
 
@@ -92,7 +95,11 @@
     void execute(http_exchange exchange);
     void read(http_exchange& exchange, const std::string& kind,
               const std::map<std::string, std::string>& query);
-    void watch(http_exchange exchange, const std::string& kind, std::uint64_t after, duration wait);
+    void watch(http_exchange exchange, const std::string& kind,
+               const std::map<std::string, std::string>& query);
+    // What a watch returns.
+    [[nodiscard]] nlohmann::json watch_answer(const std::string& kind, std::uint64_t after,
+                                              bool stale) const;
     void write(http_exchange& exchange, const std::string& kind, const std::string& name);
     void record_change(const std::string& kind, const nlohmann::json& object, bool deleted);
     [[nodiscard]] nlohmann::json events_after(const std::string& kind, std::uint64_t after) const;
