node: watches of the store end within the bound of a change

A watch now waits 0.6 to 1.2 s, drawn anew each time; with the timeout of a call (1 s) and the pause after a failure it ends within 2.4 s. Reads between watches keep their interval of 10 s instead of following each watch, and come at once when the store states another epoch, so that the bytes for the configuration do not grow.

tst_storesync, watches_end_within_the_bound_of_a_change, failed before (a wait of 10 s).

--- a/src/libs/node/storesync.cpp
+++ b/src/libs/node/storesync.cpp
@@ -21,9 +21,13 @@
 
 namespace {
 
-// Longest wait of one watch. Each watch is one store call, so a long wait costs
-// fewer calls than frequent reads.
-constexpr std::chrono::milliseconds watch_wait{10000};
+// Bounds of the wait of one watch. A connection may go silent without a reset, which only a reply
+// that is due shows; with the timeout of a call, a change is then still read within 3 s. The
+// witnesses draw their waits, so that one of them usually notices sooner.
+constexpr std::chrono::milliseconds min_watch_wait{600};
+constexpr std::chrono::milliseconds max_watch_wait{1200};
+// Interval of reads between watches; see sync_object().
+constexpr std::chrono::milliseconds refresh_interval{10000};
 constexpr std::chrono::milliseconds idle_pause{50};
 constexpr std::chrono::milliseconds maintenance_interval{250};
 // Bounds of the pause after a failed call. It doubles with each failure and has
@@ -210,9 +214,14 @@
 void store_sync::state::sync_object(object_kind kind, const std::stop_token& stop)
 {
     backoff retry_backoff{incarnation + static_cast<std::uint64_t>(kind)};
-    // Reads alternate with watches: in a store that was restored from an older copy, a watch after
-    // the known version would wait without a result. A read also follows each failure.
+    std::mt19937_64 waits_random{incarnation ^ static_cast<std::uint64_t>(kind)};
+    std::uniform_int_distribution<std::int64_t> waits{min_watch_wait.count(),
+                                                      max_watch_wait.count()};
+    // Reads come between the watches: in a store that was restored from an older copy, a watch
+    // after the known version would wait without a result. A read also follows each failure.
     bool read_next = true;
+    time_point read_at{};
+    std::uint64_t read_epochs = 0;
     while (!stop.stop_requested()) {
         const sync_needs needs = handlers.needs(kind);
         if (!needs.watch && !needs.read) {
@@ -221,14 +230,20 @@
         }
         const bool reads =
             needs.read || std::exchange(read_next, false) || needs.known.version == 0;
-        if (!read_object(kind, reads ? duration::zero() : duration{watch_wait})) {
+        const std::chrono::milliseconds wait{reads ? 0 : waits(waits_random)};
+        if (reads) {
+            read_at = boot_clock::now();
+            read_epochs = store.epochs();
+        }
+        if (!read_object(kind, wait)) {
             read_next = true;
             interruptible_sleep(stop, retry_backoff.next());
             continue;
         }
         retry_backoff.reset();
         if (!reads)
-            read_next = true;
+            read_next =
+                boot_clock::now() - read_at >= refresh_interval || store.epochs() != read_epochs;
         else if (!needs.watch || needs.known.version == 0)
             interruptible_sleep(stop, read_interval);
     }
