--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -61,8 +61,8 @@
 inline constexpr duration max_reply_time = milliseconds{10000};
 // Connecting to the store takes milliseconds; a longer attempt is aborted.
 inline constexpr duration store_connect_timeout = milliseconds{600};
-// TCP keep-alive on connections to the store and to other hosts: a peer that has gone silent
-// is detected within 3 s, so that changes are still applied within their time bounds.
+// TCP keep-alive on connections to the store and to other hosts: a peer whose system is gone is
+// detected within 3 s. One that acknowledges, but returns nothing, is not.
 inline constexpr int keepalive_idle_s = 1;
 inline constexpr int keepalive_interval_s = 1;
 inline constexpr int keepalive_probes = 2;
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -365,6 +365,8 @@
             next_snapshot_read_ = timers_.now() + gateway_constants::snapshot_read_pause;
         follow_timer_.set(next_snapshot_read_);
     }
+    if (change_announced_)
+        follow_timer_.set(next_snapshot_read_);
     log_snapshot_read(source, snapshot ? "read" : "failed", adopted);
     return snapshot.has_value();
 }
--- a/src/libs/gateway/httpchannel.h
+++ b/src/libs/gateway/httpchannel.h
@@ -20,8 +20,9 @@
 /// Why a call got no reply.
 enum class channel_failure : std::uint8_t { no_reply, reply_too_long, reply_too_slow };
 
-/// Connects on demand and reconnects after failures. TCP keep-alive detects a peer that has
-/// gone silent. Not thread-safe.
+/// Connects on demand and reconnects after failures. TCP keep-alive detects a peer whose system is
+/// gone; if the system acknowledges but nothing is returned, only the timeout of the call ends it.
+/// Not thread-safe.
 class http_channel
 {
 public:
