gateway: turns of the readers begin anew when the readers change

Found by a trial of random silences. The hosts that read the newest state renew their watches in turn, by their positions. If one of them ends, or a stronger one starts, the positions change while the watches wait, and turns may coincide until the next change of the configuration: a silent connection was then found by no reader in time.

A changed position now repeats the waiting watch at once, on all readers within a heartbeat interval, so that their turns begin together. It costs each reader a call for such a change.

--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -63,6 +63,15 @@
         restart_call();
 }
 
+void collection_watch::set_position(reader_position position)
+{
+    if (std::exchange(position_, position) == position || !renews_in_turn())
+        return;
+    in_turn_ = false;
+    if (waits_for_changes_)
+        restart_call();
+}
+
 void collection_watch::check_connection()
 {
     if (!waits_for_changes_ || !channel_.busy())
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -119,9 +119,9 @@
     /// Sets the freshness of the following calls. A change from stale_ok to newest also
     /// restarts the watch in progress.
     void set_freshness(platform::freshness needed);
-    /// Sets the position of this host among the readers of the newest state, for the following
-    /// watches.
-    void set_position(reader_position position) { position_ = position; }
+    /// Sets the position of this host among the readers of the newest state. If it has changed, the
+    /// turns begin anew, as at the other readers.
+    void set_position(reader_position position);
     /// Another call on a connection to the store got no reply. A watch that waits for changes is
     /// repeated on a new connection, because its own may have gone silent as well.
     void check_connection();
--- a/tests/auto/gateway/tst_silentconnections.cpp
+++ b/tests/auto/gateway/tst_silentconnections.cpp
@@ -44,6 +44,15 @@
             std::make_unique<gateway>(loop, timers, own, *logs.back(), 6 + instances.size()));
         instances.back()->start();
     }
+    /// Lets a host leave, which then no longer counts.
+    void end_host(std::size_t it)
+    {
+        const auto at = static_cast<std::ptrdiff_t>(it);
+        instances[it]->leave([] {});
+        left_hosts.push_back(std::move(instances[it]));
+        instances.erase(instances.begin() + at);
+        host_settings.erase(host_settings.begin() + at);
+    }
     /// Whether `reached` holds within `limit`.
     template <class Condition>
     bool reached_within(duration limit, const Condition& reached)
@@ -105,6 +114,7 @@
     std::vector<gateway_settings> host_settings;
     std::vector<std::unique_ptr<event_loop_logger>> logs;
     std::vector<std::unique_ptr<gateway>> instances;
+    std::vector<std::unique_ptr<gateway>> left_hosts;
 
 private:
     // Replaces the address in each host's entry by that of a relay.
@@ -141,6 +151,29 @@
     }
 }
 
+// Guards against readers whose turns coincide after one of them has ended or another one has
+// started, so that all of them find a silent connection late.
+Test(silent_connections, change_is_in_force_after_the_readers_have_changed, .timeout = 120)
+{
+    for (int ended = 0; ended < 5; ++ended) {
+        silent_fleet f{5};
+        f.end_host(static_cast<std::size_t>(ended));
+        int version = 1;
+        for (const duration pause : {2100ms, 3400ms, 5700ms, 7900ms}) {
+            f.run(pause);
+            f.silence_store();
+            f.run(20ms);
+            f.change_configuration(++version);
+            cr_assert(f.in_force(version), "host %d, version %d", ended, version);
+            gateway_settings own = f.other_host(fmt::format("n{}", version));
+            own.domain = failure_domain_id{fmt::format("z{}", version % 3)};
+            own.seeds = {f.host_settings.front().control};
+            f.add_host(own);
+            f.run(4s);
+        }
+    }
+}
+
 // Guards against a collection that stands still on all hosts because only its connections have gone
 // silent, also if a later change of another collection hides the revision of its own.
 Test(silent_connections, change_of_one_collection_is_known_when_its_connections_are_silent,
