gateway: the readers keep their turns when one of them repeats its watch

Change: a turn is a time of day by the clock of the first reader, which the up to three readers state in their heartbeats (10 bytes each, no other host sends it). A watch waits until its host's next turn, for whatever reason it is sent, so that turns neither begin anew nor move. Wall clocks were not used: they need not agree.

--- a/src/libs/gateway/collectionwatch.cpp
+++ b/src/libs/gateway/collectionwatch.cpp
@@ -65,10 +65,11 @@
 
 void collection_watch::set_position(reader_position position)
 {
-    if (std::exchange(position_, position) == position || !renews_in_turn())
-        return;
-    in_turn_ = false;
-    if (waits_for_changes_)
+    const reader_position before = std::exchange(position_, position);
+    const duration moved = std::chrono::abs(position.clock_offset - before.clock_offset);
+    const bool kept = position.index == before.index && position.count == before.count &&
+                      moved < gateway_constants::turn_tolerance;
+    if (!kept && renews_in_turn() && waits_for_changes_)
         restart_call();
 }
 
@@ -396,8 +397,8 @@
 {
     if (!renews_in_turn())
         return gateway_constants::watch_wait;
-    const auto turns = static_cast<duration::rep>(in_turn_ ? position_.count : position_.index + 1);
-    return std::min(gateway_constants::watch_wait, policy_.renewal_interval * turns);
+    return std::min(gateway_constants::watch_wait,
+                    time_to_turn(position_, policy_.renewal_interval, timers_.now()));
 }
 
 void collection_watch::on_gap()
@@ -450,8 +451,7 @@
         handlers_.changed(changed);
     if (std::exchange(in_doubt_, false) && !changed.empty())
         handlers_.late_change();
-    in_turn_ = page->items.empty() && waits_for_changes_;
-    if (in_turn_ && renews_in_turn())
+    if (page->items.empty() && waits_for_changes_ && renews_in_turn())
         handlers_.renewed(page->revision);
     if (page->items.empty())
         start_next_call();
@@ -473,7 +473,6 @@
 
 void collection_watch::on_failure(std::string_view reason)
 {
-    in_turn_ = false;
     if (std::exchange(restarting_, false)) {
         // The aborted call may have been the one that does not wait.
         probe_next_ = probe_next_ || !in_contact_;
--- a/src/libs/gateway/collectionwatch.h
+++ b/src/libs/gateway/collectionwatch.h
@@ -119,8 +119,8 @@
     /// Sets the freshness of the following calls. A change from stale_ok to newest also
     /// restarts the watch in progress.
     void set_freshness(platform::freshness needed);
-    /// Sets the position of this host among the readers of the newest state. If it has changed, the
-    /// turns begin anew, as at the other readers.
+    /// Sets the position of this host among the readers of the newest state. If its turns have
+    /// moved, a watch that waits for changes is repeated until the next one.
     void set_position(reader_position position);
     /// Another call on a connection to the store got no reply. A watch that waits for changes is
     /// repeated on a new connection, because its own may have gone silent as well.
@@ -213,9 +213,6 @@
     change_source source_ = change_source::store;
     bool other_readers_ = false;
     reader_position position_;
-    // The last watch ended without changes. After changes all readers begin to watch at the same
-    // time, and their first waits differ by their positions.
-    bool in_turn_ = false;
     // Up to this revision of verified_epoch_, the collection has no change that is not in the copy.
     std::uint64_t verified_ = 0;
     std::uint64_t verified_epoch_ = 0;
--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -45,6 +45,9 @@
 // one of them in this time. A silent connection is thus found, and a change passed on to all hosts,
 // within 3 s of the change.
 inline constexpr duration renewal_interval = milliseconds{1600};
+// By how much the turns of a reader may move until it repeats its watch: more than messages between
+// hosts differ in their delays.
+inline constexpr duration turn_tolerance = milliseconds{400};
 // After the reply to such a watch, the other collections have this long to show the changes up to
 // the revision that it states. Longer than the pauses below.
 inline constexpr duration verification_delay = milliseconds{600};
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -165,6 +165,8 @@
     time_point snapshot_read_at_{};
     // Relays pass on the state of the store; this host does not watch it.
     bool follows_ = false;
+    // This host is one of those that read the newest state, and states its clock to the others.
+    bool reads_newest_ = false;
     // When another live host was last known to read the store.
     time_point other_reader_seen_{};
     bool registration_begun_ = false;
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -74,8 +74,10 @@
 peer_message gateway::own_message()
 {
     const time_point now = timers_.now();
-    return {
-        own_heartbeat(), 0, 0, {}, upstreams_.limit_reports(now), upstreams_.leaving_reports(now)};
+    return {.heartbeat = own_heartbeat(),
+            .limits = upstreams_.limit_reports(now),
+            .leaving_upstreams = upstreams_.leaving_reports(now),
+            .sent_at = reads_newest_ ? now : time_point{}};
 }
 
 void gateway::announce_change()
@@ -103,6 +105,8 @@
     if (now < ignore_datagrams_until_ || now > heartbeat_due_ + peers_.heartbeat_interval())
         return;
     peers_.record_heartbeat(message.heartbeat, now);
+    if (message.sent_at != time_point{})
+        peers_.record_clock(message.heartbeat.id, message.sent_at, now);
     configuration_watch_.check_store_epoch(message.heartbeat.applied.epoch);
     if (message.announces_change && message.heartbeat.applied.is_ahead_of(known())) {
         change_announced_ = true;
@@ -175,6 +179,7 @@
     const auto position =
         others_heard ? peers_.newest_reader_position(gateway_constants::newest_reader_count, now)
                      : std::nullopt;
+    reads_newest_ = position.has_value();
     const auto needed = position ? platform::freshness::newest : platform::freshness::stale_ok;
     const bool other_readers = peers_.other_readers(now);
     if (other_readers)
--- a/src/libs/peers/hostrecord.cpp
+++ b/src/libs/peers/hostrecord.cpp
@@ -29,6 +29,8 @@
 
 // EntryHeartbeat.limit_rate of an upstream without a limit.
 constexpr double no_limit_rate = -1.0;
+// Clocks count the time since a start of the system, in ns; this is 146 years.
+constexpr std::uint64_t max_sent_at = std::uint64_t{1} << 62U;
 
 std::uint32_t encode_age(duration age)
 {
@@ -135,6 +137,7 @@
     for (const std::uint64_t it : message.leaving_upstreams)
         out.add_leaving_upstream(it);
     out.set_announces_change(message.announces_change);
+    out.set_sent_at_ns(static_cast<std::uint64_t>(message.sent_at.time_since_epoch().count()));
     return out.SerializeAsString();
 }
 
@@ -145,7 +148,7 @@
         in.digest_incarnation_size() != in.digest_host_size() ||
         in.digest_state_size() != in.digest_host_size() ||
         in.limit_rate_size() != in.limit_upstream_size() ||
-        in.limit_age_size() != in.limit_upstream_size())
+        in.limit_age_size() != in.limit_upstream_size() || in.sent_at_ns() > max_sent_at)
         return std::nullopt;
     peer_message out;
     out.heartbeat = {host_id{in.host()},
@@ -167,6 +170,7 @@
     }
     out.leaving_upstreams.assign(in.leaving_upstream().begin(), in.leaving_upstream().end());
     out.announces_change = in.announces_change();
+    out.sent_at = time_point{duration{in.sent_at_ns()}};
     for (int it = 0; it < in.limit_upstream_size(); ++it) {
         const double rate = in.limit_rate(it);
         if (!std::isfinite(rate))
--- a/src/libs/peers/hostrecord.h
+++ b/src/libs/peers/hostrecord.h
@@ -105,13 +105,16 @@
     std::uint64_t query = 0;
     // The query that this message answers. 0 if it is not an answer; `digest` is empty then.
     std::uint64_t answered_query = 0;
-    std::vector<digest_entry> digest;
+    std::vector<digest_entry> digest = {};
     // Limits of upstreams that the sender knows.
     std::vector<limit_report> limits = {};
     // upstream_table::key_of() of upstreams that have stated that they are leaving.
     std::vector<std::uint64_t> leaving_upstreams = {};
     // The sender has read a change from the store that other hosts may not get by themselves.
     bool announces_change = false;
+    // Steady time of a sender that reads the newest state of the store; the epoch of the clock if
+    // it does not.
+    time_point sent_at{};
 
     auto operator<=>(const peer_message&) const = default;
 };
--- a/src/libs/peers/peertable.cpp
+++ b/src/libs/peers/peertable.cpp
@@ -98,6 +98,13 @@
         update_state(found->second, heartbeat, now);
 }
 
+void peer_table::record_clock(const host_id& id, time_point sent_at, time_point now)
+{
+    const auto found = peers_.find(id);
+    if (found != peers_.end())
+        found->second.clock_offset = sent_at - now;
+}
+
 void peer_table::record_digest(std::span<const digest_entry> digest, duration round_trip,
                                time_point now)
 {
@@ -327,6 +334,7 @@
 {
     std::optional<std::size_t> own_index;
     std::size_t count = 0;
+    duration clock_offset{};
     for (const host_record* it : ranked_hosts(now, rank_filter::alive)) {
         if (count == max_count)
             break;
@@ -334,11 +342,13 @@
             continue;
         if (it == &self_)
             own_index = count;
+        else if (count == 0)
+            clock_offset = peers_.at(it->id).clock_offset;
         ++count;
     }
     if (!own_index)
         return std::nullopt;
-    return reader_position{*own_index, count};
+    return reader_position{*own_index, count, clock_offset};
 }
 
 bool peer_table::other_readers(time_point now) const
--- a/src/libs/peers/peertable.h
+++ b/src/libs/peers/peertable.h
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "peers/hostrecord.h"
+#include "peers/readerturn.h"
 #include "upstreams/fleetshare.h"
 
 #include <cstddef>
@@ -16,16 +17,6 @@
 
 namespace ebonywick {
 
-/// Place of a host among those that read the newest state of the store.
-struct reader_position
-{
-    // Below `count`.
-    std::size_t index = 0;
-    std::size_t count = 1;
-
-    auto operator<=>(const reader_position&) const = default;
-};
-
 /// This host and all other registered hosts.
 ///
 /// In a small fleet all hosts send heartbeats to each other. In a large one only the relays do,
@@ -46,6 +37,9 @@
     void remove(const host_id& id);
     /// Ignored if the host is not registered or the heartbeat is of an earlier incarnation.
     void record_heartbeat(const host_heartbeat& heartbeat, time_point now);
+    /// Notes the steady time at which a host has sent a message. Ignored if the host is not
+    /// registered.
+    void record_clock(const host_id& id, time_point sent_at, time_point now);
     /// Adds what another host knows. `round_trip` is the time since the query, which the ages do
     /// not contain. Entries of unknown hosts and entries older than the own knowledge have no
     /// effect.
@@ -111,6 +105,9 @@
         // Received from the host, or from a digest; the latter has no applied revisions.
         std::optional<host_heartbeat> last_heartbeat;
         time_point last_heartbeat_at{};
+        // Time of the host minus that of this one, less the delay of its last message. Zero until
+        // it has sent one.
+        duration clock_offset{};
         time_point registered_at{};
         // Since when the host has been expected to send heartbeats as a relay; the epoch of the
         // clock if it is not.
--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -184,6 +184,8 @@
         poll();
         hand_time += clock_step;
         timers.run_due();
+        for (const auto& it : host_timers)
+            it->run_due();
         poll();
     }
     /// Runs what the sockets have ready, without a change of the time.
@@ -251,6 +253,8 @@
     timer_queue timers{loop, [this] {
                            return by_hand ? hand_time : boot_clock::now();
                        }};
+    // With a clock that is set by hand: of hosts whose clocks differ from this one.
+    std::vector<std::unique_ptr<timer_queue>> host_timers;
     event_loop_logger log{log_level::error};
     endpoint store_address = free_address();
     standin::platform_store store{loop, timers, store_address};
--- a/tests/auto/gateway/tst_silentconnections.cpp
+++ b/tests/auto/gateway/tst_silentconnections.cpp
@@ -13,6 +13,8 @@
 constexpr duration change_bound = 3s;
 // Until then the hosts know each other, and which of them read the newest state of the store.
 constexpr duration settling_time = 5s;
+// Between the clocks of a host and of the one that was started before it.
+constexpr duration clock_difference = 1900ms;
 // Kind of the hosts' entries in the store.
 const std::string host_kind = "entry-hosts";
 
@@ -40,8 +42,11 @@
         to_store.push_back(std::make_unique<silent_relay>(loop, own.store, store_address));
         host_settings.push_back(own);
         logs.push_back(std::make_unique<event_loop_logger>(log_level::error));
-        instances.push_back(
-            std::make_unique<gateway>(loop, timers, own, *logs.back(), 6 + instances.size()));
+        const duration ahead = clock_difference * static_cast<int>(host_timers.size());
+        host_timers.push_back(
+            std::make_unique<timer_queue>(loop, [this, ahead] { return hand_time + ahead; }));
+        instances.push_back(std::make_unique<gateway>(loop, *host_timers.back(), own, *logs.back(),
+                                                      6 + instances.size()));
         instances.back()->start();
     }
     /// Lets a host leave, which then no longer counts.
@@ -131,6 +136,11 @@
     }
 };
 
+duration random_time(random_source& random, std::chrono::milliseconds limit)
+{
+    return std::chrono::milliseconds{random.below(static_cast<std::uint64_t>(limit.count()))};
+}
+
 } // namespace
 
 // Guards against hosts that keep an old configuration because each of them waits for changes on a
@@ -174,6 +184,37 @@
     }
 }
 
+// Guards against readers whose turns coincide after single ones have repeated their watches, so
+// that all of them find a silent connection late.
+Test(silent_connections, change_is_in_force_after_random_silences, .timeout = 240)
+{
+    constexpr std::uint64_t seeds = 40;
+    constexpr int rounds = 6;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        random_source random{seed};
+        silent_fleet f{static_cast<int>(3 + random.below(11))};
+        for (int version = 2; version < 2 + rounds; ++version) {
+            for (std::uint64_t it = random.below(5); it > 0; --it) {
+                f.to_store[random.below(f.to_store.size())]->silence();
+                f.run(random_time(random, 3s));
+            }
+            f.silence_store();
+            if (random.below(2) == 0)
+                f.silence_hosts();
+            f.run(random_time(random, 3s));
+            f.change_configuration(version);
+            const time_point end = f.hand_time + change_bound;
+            if (random.below(2) == 0) {
+                f.run(random_time(random, 2s));
+                f.silence_store();
+                f.silence_hosts();
+            }
+            cr_expect(f.reached_within(end - f.hand_time, [&] { return f.all_have(version); }),
+                      "seed %d, version %d", static_cast<int>(seed), version);
+        }
+    }
+}
+
 // Guards against a collection that stands still on all hosts because only its connections have gone
 // silent, also if a later change of another collection hides the revision of its own.
 Test(silent_connections, change_of_one_collection_is_known_when_its_connections_are_silent,
--- a/tests/auto/peers/tst_peertable.cpp
+++ b/tests/auto/peers/tst_peertable.cpp
@@ -201,6 +201,34 @@
     cr_assert(!f.table.is_newest_reader(3, f.now));
 }
 
+// Guards against turns that the readers reckon by their own clocks, which differ.
+Test(peer_table, readers_take_turns_by_the_clock_of_the_first)
+{
+    peer_fixture f;
+    f.table.set_own_state(true, false, true);
+    f.table.upsert(record("a", 5, 1, 2.0), f.now);
+    f.table.record_heartbeat({host_id{"a"}, 5, true, false, false, {}, true}, f.now);
+    cr_assert((f.table.newest_reader_position(3, f.now) == reader_position{1, 2, 0s}));
+    f.table.record_clock(host_id{"a"}, f.now - 5s, f.now);
+    f.table.record_clock(host_id{"unknown"}, f.now + 5s, f.now);
+    cr_assert((f.table.newest_reader_position(3, f.now) == reader_position{1, 2, -5s}));
+
+    const time_point base{3200ms * 1000};
+    cr_assert(time_to_turn({1, 2, 0s}, 1600ms, base) == 1600ms);
+    cr_assert(time_to_turn({0, 2, 0s}, 1600ms, base) == 3200ms);
+    cr_assert(time_to_turn({0, 2, 0s}, 1600ms, base - 101ms) == 101ms);
+    cr_assert(time_to_turn({0, 2, 0s}, 1600ms, base - 99ms) == 3299ms);
+    for (const duration clock_offset : {-5s, 7s}) {
+        // By the clock of the first reader it is 100 ms after the first one's turn.
+        const time_point now = base + 100ms - clock_offset;
+        cr_assert(time_to_turn({0, 3, clock_offset}, 1600ms, now) ==
+                  time_to_turn({0, 3, 0s}, 1600ms, base + 100ms));
+        cr_assert(time_to_turn({2, 3, clock_offset}, 1600ms, now) -
+                      time_to_turn({1, 3, clock_offset}, 1600ms, now) ==
+                  1600ms);
+    }
+}
+
 // Guards against encodings that lose fields, and against decoding invalid input.
 Test(peer_table, records_and_heartbeats_survive_encoding)
 {
@@ -209,6 +237,7 @@
     cr_assert(!decode_host_record("a", "[]"));
     cr_assert(!decode_host_record("a", R"({"callers":1})"));
     peer_message message{{host_id{"a"}, 7, true, false, true, {42, 43, 44, 45}, true}, 46, 0, {}};
+    message.sent_at = time_point{47ns};
     cr_assert(decode_peer_message(encode_peer_message(message)) == message);
     message.answered_query = 47;
     message.digest = {{1, 2, 3s, true, false, true, true}, {4, 5, 60ms, false, true, false, false}};
@@ -219,6 +248,9 @@
     cr_assert(decode_peer_message(encode_peer_message(message)) == message);
     message.limits[0].limit = {std::numeric_limits<double>::quiet_NaN()};
     cr_assert(!decode_peer_message(encode_peer_message(message)));
+    message.limits.clear();
+    message.sent_at = time_point::max();
+    cr_assert(!decode_peer_message(encode_peer_message(message)));
     cr_assert(!decode_peer_message("\xff\xff\xff"));
     cr_assert(!decode_peer_message(""));
 }
