tst_plannedstop: the slow caller's pace does not depend on the machine

Cause: the caller read up to 15,000 bytes after each 10 ms of real time, 1.8 MB in at least 1.2 s. On a busy machine a step takes longer, the grace period of 2 s ends first, and the host closes the connection as it must. With steps of 18 ms the test fails every time, at the same line (1,481,056 bytes). Ruled out: load alone with the normal build (80 of 80 runs pass beside 40 others).

Change: the clock is set by hand, and pieces of a fixed size are read, for which the test waits without a change of the time. The caller reads slowly until the host takes no more requests, then the rest within the grace period. The checks are the same.

--- a/tests/auto/gateway/tst_plannedstop.cpp
+++ b/tests/auto/gateway/tst_plannedstop.cpp
@@ -4,10 +4,9 @@
 
 #include <criterion/criterion.h>
 
-#include <array>
-
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 using namespace ebonywick;
@@ -33,6 +32,29 @@
     return out;
 }
 
+// Reads this many bytes; fewer at the end of the stream, or if no more come without a change of the
+// fixture's clock.
+std::string read_piece(gateway_fixture& f, boost::asio::ip::tcp::socket& from, std::size_t size,
+                       boost::system::error_code& ec)
+{
+    constexpr int limit_ms = 100;
+    std::string out(size, '\0');
+    std::size_t read = 0;
+    while (read < size) {
+        read += from.read_some(boost::asio::buffer(out) + read, ec);
+        if (!ec)
+            continue;
+        if (ec != boost::asio::error::would_block)
+            break;
+        f.poll();
+        pollfd readable{from.native_handle(), POLLIN, 0};
+        if (::poll(&readable, 1, limit_ms) == 0)
+            break;
+    }
+    out.resize(read);
+    return out;
+}
+
 } // namespace
 
 // Orders take 500 to 900 ms and come until the host has left. Guards against an order that is taken
@@ -101,7 +123,8 @@
 Test(planned_stop, answers_are_sent_to_their_end)
 {
     namespace asio = boost::asio;
-    gateway_fixture f{1};
+    // The caller's pace does not depend on the speed of the machine.
+    gateway_fixture f{1, fixture_clock::by_hand};
     const std::string body(900'000, 'x');
     std::vector<std::unique_ptr<scripted_upstream>> upstreams;
     for (const std::size_t index : {2U, 3U}) {
@@ -132,15 +155,15 @@
     // Later events of the host are those of a process that has ended.
     f.instance->leave([&] { left = true; });
     std::string received;
-    std::array<char, 15'000> buf{};
     boost::system::error_code ec;
     std::size_t received_before_exit = 0;
     caller.non_blocking(true);
     for (int it = 0; it < 400; ++it) {
-        const std::size_t n = caller.read_some(asio::buffer(buf), ec);
+        // Until the host takes no more requests, 1.44 s after the stop, the caller reads slowly.
+        const std::size_t piece = it < 150 ? 2'000 : 60'000;
+        received += read_piece(f, caller, piece, ec);
         if (ec && ec != asio::error::would_block)
             break;
-        received.append(buf.data(), ec ? 0 : n);
         f.run(10ms);
         if (left)
             f.instance.reset();
