soak: an upstream that asks for a pause refuses until the pause ends

The check counts requests for 5 s after the first one that arrives at this upstream, but the stand-in refused for 5 s after the command. Hosts that believe in a limit of 0, which the soak states and ends shortly before, send their first request up to 5 s later; the others then come after the last refusal, are served, know of no pause, and were counted.

Change: the stand-in refuses for the time of the pause from the first request on, so that each host is told that sends one in it. Window, bound and hosts of the check are as before; hosts that hear of the pause late are now checked too.

--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -178,12 +178,11 @@
         if (command.contains("leaving"))
             upstreams_[command["leaving"].get<std::size_t>() % upstreams_.size()]->state_leaving(
                 true);
-        // [upstream, ms, text of Retry-After]
+        // [upstream, ms from the next request on, text of Retry-After]
         if (command.contains("refuse")) {
             const json& it = command["refuse"];
-            upstreams_[it[0].get<std::size_t>() % upstreams_.size()]->refuse_until(
-                timers_.now() + std::chrono::milliseconds{it[1].get<int>()},
-                it[2].get<std::string>());
+            upstreams_[it[0].get<std::size_t>() % upstreams_.size()]->refuse_from_next_for(
+                std::chrono::milliseconds{it[1].get<int>()}, it[2].get<std::string>());
         }
         if (command.contains("pause")) {
             const json& it = command["pause"];
--- a/tests/standins/platform/platformupstream.cpp
+++ b/tests/standins/platform/platformupstream.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <utility>
+
 namespace ebonywick::standin {
 
 namespace {
@@ -81,6 +83,8 @@
         fault = faults_.front();
         faults_.pop_front();
     }
+    if (const auto time = std::exchange(refusal_time_, std::nullopt))
+        refused_until_ = timers_.now() + *time;
     if (timers_.now() < refused_until_) {
         field_list fields{{"X-Request-Id", std::string{message.field("X-Request-Id")}},
                           {"X-Not-Executed", "1"}};
--- a/tests/standins/platform/platformupstream.h
+++ b/tests/standins/platform/platformupstream.h
@@ -82,6 +82,12 @@
         refused_until_ = until;
         retry_after_ = std::move(retry_after);
     }
+    /// The next request and those that arrive within `time` of it are refused as above.
+    void refuse_from_next_for(duration time, std::string retry_after)
+    {
+        refusal_time_ = time;
+        retry_after_ = std::move(retry_after);
+    }
     /// From now on replies state this limit of requests per second; nullopt: none.
     void set_limit(std::optional<double> requests_per_second) { limit_ = requests_per_second; }
     void set_service_time(duration time) { options_.service_time = time; }
@@ -130,6 +136,8 @@
     bool leaving_ = false;
     std::optional<time_point> stated_leaving_at_;
     time_point refused_until_{};
+    // Set until the first request of refuse_from_next_for().
+    std::optional<duration> refusal_time_;
     std::string retry_after_;
     std::vector<run> runs_;
     std::vector<time_point> arrivals_;
