gateway: changes are announced to all hosts of a large fleet

Cause: in fleets of more than 40 hosts relays send heartbeats once a second, and the other hosts ask relays once a second. A reader announced a change only if a call of its own had replaced a silent one, and only to relays.

Change: in a large fleet a reader announces each change of the configuration, also if other hosts seem to have it. A relay passes an announcement on to its part of the hosts that are no relays, once, as soon as it has the change from wherever. Parts are divided by a hash among the relays of the failure domain, so that changes are read within it.

--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -93,6 +93,9 @@
     void on_peer_message(const peer_message& message, const endpoint& from);
     // Tells the other hosts at once of changes that they do not have yet.
     void announce_change();
+    // Tells the hosts for which this relay is responsible of changes that were announced to it.
+    void pass_on_announcement();
+    void send_announcement(const std::vector<endpoint>& to);
     // Asks relays for digests; only in a large fleet.
     void query_relays(time_point now);
     [[nodiscard]] host_heartbeat own_heartbeat() const;
@@ -202,6 +205,8 @@
     // Another host has announced a change, which is to be read from it without the usual wait for
     // the store.
     bool change_announced_ = false;
+    // What this host has passed on last of the changes that were announced to it.
+    applied_revisions passed_on_;
     loop_timer verification_timer_;
     // Store revision that the last renewed watch of the configuration has stated.
     std::uint64_t renewed_revision_ = 0;
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -82,11 +82,29 @@
 
 void gateway::announce_change()
 {
-    if (!applied().is_ahead_of(peers_.newest_applied()))
+    // In a large fleet, hosts that have the change already may not have passed it on.
+    const bool announces_all = reads_newest_ && !peers_.small_fleet();
+    if (!announces_all && !applied().is_ahead_of(peers_.newest_applied()))
+        return;
+    send_announcement(peers_.heartbeat_targets(false));
+    pass_on_announcement();
+}
+
+void gateway::pass_on_announcement()
+{
+    if (!applied().is_ahead_of(passed_on_))
+        return;
+    passed_on_ = applied();
+    send_announcement(peers_.announcement_targets());
+}
+
+void gateway::send_announcement(const std::vector<endpoint>& to)
+{
+    if (to.empty())
         return;
     peer_message message = own_message();
     message.announces_change = true;
-    heartbeat_link_.send(message, peers_.heartbeat_targets(false));
+    heartbeat_link_.send(message, to);
 }
 
 void gateway::query_relays(time_point now)
@@ -108,9 +126,13 @@
     if (message.sent_at != time_point{})
         peers_.record_clock(message.heartbeat.id, message.sent_at, now);
     configuration_watch_.check_store_epoch(message.heartbeat.applied.epoch);
-    if (message.announces_change && message.heartbeat.applied.is_ahead_of(known())) {
-        change_announced_ = true;
-        follow_timer_.set_after(gateway_constants::announced_change_delay);
+    if (message.announces_change) {
+        if (message.heartbeat.applied.is_ahead_of(known())) {
+            change_announced_ = true;
+            follow_timer_.set_after(gateway_constants::announced_change_delay);
+        } else {
+            pass_on_announcement();
+        }
     }
     for (const limit_report& it : message.limits) {
         if (const upstream_pointer of = upstreams_.find_reported(it.upstream))
@@ -315,7 +337,10 @@
     const auto ahead = peers_.hosts_ahead_of(known(), now);
     behind_since_ = ahead.empty() ? time_point::max() : std::min(behind_since_, now);
     note_behind(now);
-    change_announced_ = change_announced_ && !ahead.empty();
+    if (change_announced_ && ahead.empty()) {
+        change_announced_ = false;
+        pass_on_announcement();
+    }
     if (snapshot_channel_.busy())
         return;
     if (now < next_snapshot_read_) {
@@ -370,8 +395,11 @@
             next_snapshot_read_ = timers_.now() + gateway_constants::snapshot_read_pause;
         follow_timer_.set(next_snapshot_read_);
     }
-    if (change_announced_)
+    if (change_announced_) {
         follow_timer_.set(next_snapshot_read_);
+        if (!adopted.empty())
+            pass_on_announcement();
+    }
     log_snapshot_read(source, snapshot ? "read" : "failed", adopted);
     return snapshot.has_value();
 }
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -120,6 +120,10 @@
              {"before", before},
              {"revision", it.revision},
              {"routes", static_cast<std::uint64_t>(routes_->configuration().routes.size())}});
+        // The other hosts of a large fleet learn of changes from relays that ask each other and are
+        // asked once a second, too rarely if their watches have gone silent.
+        if (reads_newest_ && !peers_.small_fleet())
+            announcement_timer_.set_after(duration::zero());
     }
 }
 
--- a/src/libs/peers/peertable.cpp
+++ b/src/libs/peers/peertable.cpp
@@ -221,6 +221,30 @@
     return out;
 }
 
+std::vector<endpoint> peer_table::announcement_targets() const
+{
+    if (small_fleet() || !is_relay())
+        return {};
+    std::map<failure_domain_id, std::vector<host_id>> relays_of;
+    for (const host_id& id : relays_) {
+        if (const auto found = peers_.find(id); found != peers_.end())
+            relays_of[found->second.record.domain].push_back(id);
+        else if (id == self_.id)
+            relays_of[self_.domain].push_back(id);
+    }
+    const std::vector<host_id> all{relays_.begin(), relays_.end()};
+    std::vector<endpoint> out;
+    for (const auto& [id, it] : peers_) {
+        if (is_relay(id))
+            continue;
+        const auto found = relays_of.find(it.record.domain);
+        const std::vector<host_id>& candidates = found != relays_of.end() ? found->second : all;
+        if (candidates[stable_hash(id.value()) % candidates.size()] == self_.id)
+            out.push_back(it.record.heartbeats);
+    }
+    return out;
+}
+
 void peer_table::set_own_state(bool ready, bool strained, bool reads_store)
 {
     own_ready_ = ready;
--- a/src/libs/peers/peertable.h
+++ b/src/libs/peers/peertable.h
@@ -58,6 +58,10 @@
     /// Heartbeat addresses of the hosts that get the heartbeats of this one. A leaving host
     /// tells all registered hosts.
     [[nodiscard]] std::vector<endpoint> heartbeat_targets(bool leaving) const;
+    /// Heartbeat addresses of the hosts to which this one passes on changes that are announced to
+    /// the relays: those of its failure domain that are no relays, divided among the relays of the
+    /// domain, or among all if it has none. Empty in a small fleet and on hosts that are no relays.
+    [[nodiscard]] std::vector<endpoint> announcement_targets() const;
     /// Time between two heartbeats of a host; longer in large fleets.
     [[nodiscard]] duration heartbeat_interval() const;
 
--- a/tests/auto/gateway/tst_silentconnections.cpp
+++ b/tests/auto/gateway/tst_silentconnections.cpp
@@ -215,6 +215,30 @@
     }
 }
 
+// Guards against hosts of a large fleet that learn of a change only by the relays' heartbeats and
+// their own queries, once a second each, when the watches of most relays have gone silent.
+Test(silent_connections, change_is_in_force_in_a_large_fleet, .timeout = 240)
+{
+    constexpr std::uint64_t seeds = 6;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        random_source random{seed};
+        silent_fleet f{50};
+        for (const int version : {2, 3, 4, 5}) {
+            const std::uint64_t spared_tenths = random.below(4);
+            for (const auto& it : f.to_store) {
+                if (random.below(10) >= spared_tenths)
+                    it->silence();
+            }
+            if (random.below(2) == 0)
+                f.silence_hosts();
+            f.run(random_time(random, 3s));
+            f.change_configuration(version);
+            cr_expect(f.in_force(version), "seed %d, version %d", static_cast<int>(seed), version);
+            f.run(4s);
+        }
+    }
+}
+
 // Guards against a collection that stands still on all hosts because only its connections have gone
 // silent, also if a later change of another collection hides the revision of its own.
 Test(silent_connections, change_of_one_collection_is_known_when_its_connections_are_silent,
--- a/tests/auto/peers/tst_peerfleet.cpp
+++ b/tests/auto/peers/tst_peerfleet.cpp
@@ -56,6 +56,39 @@
     cr_assert(f.named_by(0) == 195);
 }
 
+// Guards against announced changes that a host that is no relay learns of only by its own queries,
+// that several relays send to it, or that one relay has to send to most hosts. The weak hosts of
+// one failure domain have no relay there.
+Test(peer_fleet, each_host_is_told_of_announced_changes_by_one_relay)
+{
+    for (const std::size_t size : {30U, 195U, 460U}) {
+        constexpr std::size_t strong = 40;
+        peer_fleet f{size, strong};
+        for (std::size_t it = strong; it < size; it += 7) {
+            host_record moved = f.hosts[it]->record;
+            moved.domain = failure_domain_id{"without relays"};
+            for (const auto& of : f.hosts)
+                of->table.upsert(moved, f.now);
+        }
+        f.run(5s);
+        std::vector<std::size_t> told(size);
+        for (const auto& from : f.hosts) {
+            const auto targets = from->table.announcement_targets();
+            cr_assert(targets.size() <= size / 8, "%zu of %zu", targets.size(), size);
+            for (const endpoint& to : targets) {
+                const std::size_t number = to.port - 1U;
+                ++told[number];
+                cr_assert(f.hosts[number]->record.domain == from->record.domain ||
+                          (number - strong) % 7 == 0);
+            }
+        }
+        for (std::size_t it = 0; it < size; ++it) {
+            const bool expected = !f.hosts[it]->table.is_relay();
+            cr_assert(told[it] == (expected ? 1 : 0), "host %zu of %zu: %zu", it, size, told[it]);
+        }
+    }
+}
+
 // Guards against a planned stop that most hosts learn of only by the timeout.
 Test(peer_fleet, leaving_host_is_no_longer_named_at_once)
 {
