upstreams: observation and choice in files of their own

upstreamtable.cpp had 585 lines and mixed entries and statements with what is observed of an upstream and with load balancing. upstream_observation now holds the moving averages and the backoff, upstream_choice the cost and the weighted random choice, upstream what its statements allow. choose() and has_free_slot() take a choice_request, to which a request can add conditions. The order of random numbers is kept, so that the choice is the same; a copy of the random source in the choice was ruled out, because reports are shortened with the same source.

upstream_entry gets the version of the upstream's software, an optional text of the entry; another type makes the entry unreadable.

--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -124,7 +124,7 @@
                    std::vector<fan_out_action>& out)
 {
     call_target& it = targets_[index];
-    const upstream_pointer to = shared_.upstreams.choose(it.service, it.tried, now);
+    const upstream_pointer to = shared_.upstreams.choose({it.service, it.tried, now});
     if (!to)
         return false;
     shared_.upstreams.call_started(*to, now);
@@ -317,7 +317,7 @@
     }
     it.hedge_at = now + hedge_retry_wait;
     // A hedge that has to queue delays other requests by more than the time it saves.
-    if (shared_.upstreams.has_free_slot(it.service, it.tried, now) &&
+    if (shared_.upstreams.has_free_slot({it.service, it.tried, now}) &&
         shared_.budget.try_take_hedge(it.service, now))
         send(index, call_reason::hedge, now, out);
 }
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -1,51 +1,16 @@
-// Observed load, latency and failures of upstreams, and the weighted random choice.
+// Entries of upstreams, their statements and the division of limits among the hosts.
 #include "upstreams/upstreamtable.h"
 
 #include "base/hashing.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 
 namespace ebonywick {
 
 namespace {
 
-using std::chrono::milliseconds;
-
-// Weight of a new sample in the moving average of the relative latency.
-constexpr double latency_sample_weight = 0.2;
-// Half-life of the deviation from the usual latency. Without the decay an upstream that was
-// slow once would not be tried again.
-constexpr duration latency_half_life = std::chrono::seconds{3};
-constexpr double max_relative_latency = 20.0;
-// Weight of a new sample in the moving average of the failure ratio, and its half-life.
-constexpr double failure_sample_weight = 0.15;
-constexpr duration failure_half_life = std::chrono::seconds{4};
-// The cost is divided by the success ratio to this power. An upstream that fails two of five
-// calls gets about a twentieth of the calls of a healthy one.
-constexpr double failure_exponent = 3.0;
-constexpr double max_failure_ratio = 0.9;
-// Half-life of the difference between the last load report and the average load. The queue of
-// an upstream with 2 to 4 slots and run times of some ten milliseconds changes within this
-// time, while a host that shares the upstream with many others gets only a few reports a
-// second.
-constexpr duration load_report_half_life = milliseconds{100};
-// Half-life of the previous average when a new report is added, and half-life of the average
-// while no report comes. An overload lasts for seconds.
-constexpr duration average_load_update_half_life = milliseconds{100};
-constexpr duration average_load_half_life = milliseconds{400};
-// Backoff after the first failure of an upstream, and its upper bound after repeated ones. The
-// first is about the length of a typical pause, so that most pauses cost one late call.
-constexpr duration initial_backoff = milliseconds{200};
-constexpr duration max_backoff = milliseconds{1600};
-// Factor on the cost of an upstream in another failure domain: traffic between domains is
-// charged and takes longer.
-constexpr double cross_domain_cost_factor = 1.15;
 // Number of calls over which the run time of a service is averaged.
 constexpr int run_time_samples = 64;
-// Factor on the cost of an upstream in its cold start.
-constexpr double cold_cost_factor = 1.6;
 // Rate of calls to an upstream that states a lower limit. Without calls, no reply would show the
 // end of the limit.
 constexpr double min_limited_rate = 0.5;
@@ -62,12 +27,6 @@
 // An entry may return long after it was removed, for example from a restored store.
 constexpr duration removed_statement_time = std::chrono::hours{1};
 constexpr std::size_t max_removed_statements = 1024;
-// Tokens of a limit that first calls leave to hedges and retries. With the limited upstreams of a
-// shard used up, nothing could replace the remaining one during a pause.
-constexpr double reserved_tokens = 1.0;
-// An upstream is chosen with a probability proportional to its cost to the power of minus this.
-constexpr double weight_exponent = 3.0;
-
 // The entries belong to the same process, for which its statements hold.
 bool same_lifetime(const upstream_entry& a, const upstream_entry& b)
 {
@@ -86,18 +45,10 @@
     reports.resize(max_count);
 }
 
-// Exponential decay of `value` over `age`.
-double decayed(double value, duration age, duration half_life)
-{
-    const double half_lives =
-        std::chrono::duration<double>(age) / std::chrono::duration<double>(half_life);
-    return value * std::exp2(-half_lives);
-}
-
 } // namespace
 
 upstream_table::upstream_table(host_id own_host, failure_domain_id own_domain, std::uint64_t seed)
-    : share_(std::move(own_host)), own_domain_(std::move(own_domain)), random_(seed)
+    : share_(std::move(own_host)), choice_(std::move(own_domain)), random_(seed)
 {
 }
 
@@ -121,7 +72,6 @@
     divide_cold_rate(*it, now);
     // A random initial level, so that the hosts do not all send their first call at once.
     it->cold_tokens_.set_tokens(random_.uniform(), now);
-    it->relative_latency_at_ = now;
     restore_statements(*it, now);
     by_id_.emplace(entry.id, it);
     by_report_key_[report_key(entry)] = it;
@@ -256,132 +206,22 @@
                       [&](const auto& it) { return it.second->paused_until_ > now; }));
 }
 
-double upstream_table::decayed_relative_latency(const upstream& it, time_point now)
-{
-    return 1.0 +
-           decayed(it.relative_latency_ - 1.0, now - it.relative_latency_at_, latency_half_life);
-}
-
-double upstream_table::decayed_average_load(const upstream& it, time_point now)
-{
-    return decayed(it.average_load_, now - it.load_reported_at_, average_load_half_life);
-}
-
-double upstream_table::estimated_load(const upstream& it, time_point now)
-{
-    const double average = decayed_average_load(it, now);
-    const double reported = it.last_load_report_.running + it.last_load_report_.waiting;
-    const double load =
-        average + decayed(reported - average, now - it.load_reported_at_, load_report_half_life);
-    const double own_calls_since_report = static_cast<double>(it.calls_) - it.calls_at_load_report_;
-    return std::max<double>(it.calls_, load + own_calls_since_report);
-}
-
 duration upstream_table::expected_wait(const service_name& service, time_point now) const
 {
     const auto found = by_service_.find(service);
     if (found == by_service_.end())
         return duration::zero();
-    double least = std::numeric_limits<double>::max();
-    for (const upstream_pointer& it : found->second.upstreams) {
-        if (!it->usable() || it->backoff_until_ > now || !may_call(*it, now) || reserved(*it, now))
-            continue;
-        const double slots = std::max<std::uint32_t>(1, it->entry_.slots);
-        const double rounds = std::max(0.0, estimated_load(*it, now) + 1.0 - slots) / slots;
-        least = std::min(least, rounds * std::max(1.0, decayed_relative_latency(*it, now)));
-    }
-    // No queue length is known while all upstreams are in backoff or at their limits.
-    if (least == std::numeric_limits<double>::max())
-        return duration::zero();
-    return std::chrono::duration_cast<duration>(found->second.run_time * least);
-}
-
-bool upstream_table::has_free_slot(const service_name& service,
-                                   std::span<const upstream_pointer> excluded, time_point now) const
-{
-    const auto all = of_service(service);
-    return std::any_of(all.begin(), all.end(), [&](const upstream_pointer& it) {
-        return it->usable() && it->backoff_until_ <= now && may_call(*it, now) &&
-               estimated_load(*it, now) + 1.0 <= std::max<std::uint32_t>(1, it->entry_.slots) &&
-               std::find(excluded.begin(), excluded.end(), it) == excluded.end();
-    });
-}
-
-double upstream_table::cost(const upstream& it, time_point now) const
-{
-    double out = decayed_relative_latency(it, now);
-    const double failure_ratio =
-        decayed(it.failure_ratio_, now - it.failure_ratio_at_, failure_half_life);
-    out /= std::pow(1.0 - std::min(failure_ratio, max_failure_ratio), failure_exponent);
-    const double slots = std::max<std::uint32_t>(1, it.entry_.slots);
-    const double busy = estimated_load(it, now);
-    // A call that finds all slots busy has to queue.
-    out *= 1.0 + std::max(0.0, busy + 1.0 - slots) / slots + 0.25 * busy / slots;
-    if (it.entry_.domain != own_domain_)
-        out *= cross_domain_cost_factor;
-    if (now < it.cold_until_)
-        out *= cold_cost_factor;
-    return std::max(out, 0.05);
+    return ebonywick::expected_wait(found->second.upstreams, found->second.run_time, now);
 }
 
-upstream_pointer upstream_table::choose(const service_name& service,
-                                        std::span<const upstream_pointer> excluded, time_point now)
+bool upstream_table::has_free_slot(const choice_request& request) const
 {
-    double total = 0.0;
-    upstream_pointer chosen;
-    upstream_pointer last_reserved;
-    upstream_pointer last_resort;
-    for (const upstream_pointer& it : of_service(service)) {
-        if (!it->usable() || std::find(excluded.begin(), excluded.end(), it) != excluded.end() ||
-            !may_call(*it, now))
-            continue;
-        // After the backoff the upstream gets one call at a time until a reply comes.
-        const bool backing_off = it->lapsing_ || it->backoff_until_ > now ||
-                                 (it->consecutive_failures_ > 0 && it->calls_ > 0);
-        if (backing_off) {
-            if (!last_resort || it->backoff_until_ < last_resort->backoff_until_)
-                last_resort = it;
-            continue;
-        }
-        if (excluded.empty() && reserved(*it, now)) {
-            last_reserved = it;
-            continue;
-        }
-        const double weight = std::pow(cost(*it, now), -weight_exponent);
-        total += weight;
-        if (random_.uniform() * total < weight)
-            chosen = it;
-    }
-    if (chosen)
-        return chosen;
-    return last_reserved ? last_reserved : last_resort;
-}
-
-bool upstream_table::cold_limited(const upstream& it, time_point now) const
-{
-    return now < it.cold_until_ && cold_rates_.contains(it.entry_.service);
-}
-
-time_point upstream_table::next_call_at(const upstream& it, time_point now) const
-{
-    time_point out = now;
-    if (cold_limited(it, now))
-        out = std::min(it.cold_tokens_.available_at(now), it.cold_until_);
-    if (it.limit_.calls_per_second)
-        out = std::max(out, it.limit_tokens_.available_at(now));
-    return std::max(out, it.paused_until_);
+    return ebonywick::has_free_slot(of_service(request.service), request);
 }
 
-bool upstream_table::may_call(const upstream& it, time_point now) const
+upstream_pointer upstream_table::choose(const choice_request& request)
 {
-    return next_call_at(it, now) <= now;
-}
-
-bool upstream_table::reserved(const upstream& it, time_point now)
-{
-    const token_bucket& tokens = it.limit_tokens_;
-    return it.limit_.calls_per_second && tokens.capacity() > 1.0 &&
-           tokens.tokens(now) < 1.0 + std::min(reserved_tokens, tokens.capacity() - 1.0);
+    return choice_.choose(of_service(request.service), request, random_);
 }
 
 time_point upstream_table::next_call_at(const service_name& service, time_point now) const
@@ -389,14 +229,14 @@
     time_point out = time_point::max();
     for (const upstream_pointer& it : of_service(service)) {
         if (it->usable())
-            out = std::min(out, next_call_at(*it, now));
+            out = std::min(out, it->next_call_at(now));
     }
     return out;
 }
 
 void upstream_table::call_started(upstream& it, time_point now)
 {
-    ++it.calls_;
+    it.observed_.call_started();
     if (it.stated_leaving_)
         ++calls_to_leaving_;
     if (it.paused_until_ > now)
@@ -405,62 +245,22 @@
         ++calls_to_limited_;
         it.limit_tokens_.take(now);
     }
-    if (cold_limited(it, now))
+    if (it.cold_limited(now))
         it.cold_tokens_.take(now);
 }
 
-void upstream_table::back_off(upstream& it, time_point now)
-{
-    const auto shift = std::min<std::uint32_t>(it.consecutive_failures_, 10);
-    const duration wait = std::min(max_backoff, initial_backoff * (1 << shift));
-    it.backoff_until_ = std::max(it.backoff_until_, now + wait);
-    ++it.consecutive_failures_;
-}
-
 void upstream_table::call_ended(upstream& it, call_result result, call_time time, time_point now)
 {
-    --it.calls_;
-    if (result != call_result::cancelled)
-        record_result(it, result != call_result::replied, now);
-    switch (result) {
-    case call_result::replied:
-        it.consecutive_failures_ = 0;
-        it.backoff_until_ = {};
+    if (result == call_result::replied)
         record_run_time(it, time.elapsed);
-        break;
-    case call_result::unreachable:
-    case call_result::lost:
-    case call_result::failed:
-        back_off(it, now);
-        return;
-    case call_result::shed:
-        // A full queue drains within a fraction of the initial backoff.
-        it.backoff_until_ = std::max(it.backoff_until_, now + initial_backoff / 4);
-        return;
-    case call_result::cancelled:
-        // The time is only a lower bound, so it does not count below the average.
-        if (time.relative < it.relative_latency_)
-            return;
-        break;
-    }
-    const double before = decayed_relative_latency(it, now);
-    it.relative_latency_ =
-        std::min(max_relative_latency, before + latency_sample_weight * (time.relative - before));
-    it.relative_latency_at_ = now;
-}
-
-void upstream_table::record_result(upstream& it, bool failed, time_point now)
-{
-    const double before = decayed(it.failure_ratio_, now - it.failure_ratio_at_, failure_half_life);
-    it.failure_ratio_ = before + failure_sample_weight * ((failed ? 1.0 : 0.0) - before);
-    it.failure_ratio_at_ = now;
+    it.observed_.call_ended(result, time, now);
 }
 
 void upstream_table::record_run_time(const upstream& it, duration elapsed)
 {
     const auto found = by_service_.find(it.entry_.service);
     // The duration of a call that may have queued does not show the run time.
-    if (found == by_service_.end() || it.last_load_report_.waiting > 0)
+    if (found == by_service_.end() || it.observed().reported_waiting())
         return;
     duration& run_time = found->second.run_time;
     run_time =
@@ -469,13 +269,7 @@
 
 void upstream_table::load_reported(upstream& it, reported_load load, time_point now)
 {
-    const double average = decayed_average_load(it, now);
-    const double calls = load.running + load.waiting;
-    it.average_load_ =
-        calls + decayed(average - calls, now - it.load_reported_at_, average_load_update_half_life);
-    it.last_load_report_ = load;
-    it.load_reported_at_ = now;
-    it.calls_at_load_report_ = it.calls_;
+    it.observed_.load_reported(load, now);
 }
 
 void upstream_table::limit_stated(upstream& it, stated_limit limit, time_point stated_at,
@@ -559,7 +353,8 @@
 void upstream_table::divide_cold_rate(upstream& it, time_point now)
 {
     const auto rate = cold_rates_.find(it.entry_.service);
-    if (rate != cold_rates_.end())
+    it.has_cold_rate_ = rate != cold_rates_.end();
+    if (it.has_cold_rate_)
         it.cold_tokens_.set_rate(share_.equal_part_of(rate->second), 1.0, now);
 }
 
@@ -572,8 +367,7 @@
 
 void upstream_table::call_late(upstream& it, time_point now)
 {
-    if (it.backoff_until_ <= now)
-        back_off(it, now);
+    it.observed_.call_late(now);
 }
 
 void upstream_table::cold_reported(upstream& it, duration remaining, time_point now)
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -1,22 +1,16 @@
-// Upstreams of each service, the load, latency and failures that this host has observed of
-// them, and load balancing among them.
+// Upstreams of each service and what each has stated about itself.
 #pragma once
 
 #include "base/clock.h"
 #include "base/identifiers.h"
 #include "base/randomsource.h"
-#include "settings/declaration.h"
 #include "upstreams/fleetshare.h"
 #include "upstreams/statedlimit.h"
-#include "upstreams/tokenbucket.h"
+#include "upstreams/upstream.h"
+#include "upstreams/upstreamchoice.h"
 
-#include <boost/smart_ptr/intrusive_ptr.hpp>
-#include <boost/smart_ptr/intrusive_ref_counter.hpp>
-
-#include <compare>
 #include <cstdint>
 #include <deque>
-#include <optional>
 #include <set>
 #include <span>
 #include <unordered_map>
@@ -24,133 +18,6 @@
 
 namespace ebonywick {
 
-/// Registration of an upstream.
-struct upstream_entry
-{
-    upstream_id id;
-    service_name service;
-    endpoint address;
-    failure_domain_id domain;
-    // Calls that the upstream runs at once.
-    std::uint32_t slots = 1;
-    bool leaving = false;
-    // Rest of the cold start at the time of the entry; zero: warm.
-    duration cold_remaining{};
-    // Changes when the upstream restarts under the same id.
-    std::uint64_t incarnation = 0;
-
-    auto operator<=>(const upstream_entry&) const = default;
-};
-
-/// Load that an upstream reports with a reply, in calls.
-struct reported_load
-{
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::uint32_t slots = 0;
-
-    auto operator<=>(const reported_load&) const = default;
-};
-
-/// How a call ended, as far as it matters to load balancing.
-enum class call_result : std::uint8_t {
-    replied,
-    // The upstream ran the call and replied with a failure.
-    failed,
-    // The upstream refused the call because its queue is full.
-    shed,
-    // Nothing listens at the address, or another process does.
-    unreachable,
-    // The connection broke or carried an invalid reply.
-    lost,
-    // This host stopped waiting.
-    cancelled,
-};
-
-/// Duration of a call.
-struct call_time
-{
-    duration elapsed{};
-    // Ratio of `elapsed` to the median duration of the calls of the same route.
-    double relative = 1.0;
-
-    auto operator<=>(const call_time&) const = default;
-};
-
-/// State of one upstream. Shared by the table and the calls in progress, which may outlive the
-/// entry in the table.
-class upstream : public boost::intrusive_ref_counter<upstream, boost::thread_unsafe_counter>
-{
-public:
-    explicit upstream(upstream_entry entry) : entry_(std::move(entry)) {}
-
-    [[nodiscard]] const upstream_entry& entry() const { return entry_; }
-    /// False after the entry was removed, or replaced after a restart of the upstream.
-    [[nodiscard]] bool listed() const { return listed_; }
-    /// May get calls at all.
-    [[nodiscard]] bool usable() const
-    {
-        return listed_ && !entry_.leaving && !stated_leaving_ && !domain_out_;
-    }
-    /// May get calls now.
-    [[nodiscard]] bool accepts_calls(time_point now) const
-    {
-        return usable() && paused_until_ <= now;
-    }
-    /// The registration has disappeared and may come back soon.
-    [[nodiscard]] bool lapsing() const { return lapsing_; }
-    /// Calls of this host in progress.
-    [[nodiscard]] std::uint32_t calls() const { return calls_; }
-    /// What the upstream stated last.
-    [[nodiscard]] const stated_limit& limit() const { return limit_; }
-    /// A reply has stated that the upstream is leaving. Holds until the end of its lifetime,
-    /// whatever its entry says.
-    [[nodiscard]] bool stated_leaving() const { return stated_leaving_; }
-    /// A refusal has asked this host for a pause until then.
-    [[nodiscard]] time_point paused_until() const { return paused_until_; }
-
-private:
-    friend class upstream_table;
-
-    upstream_entry entry_;
-    bool listed_ = true;
-    bool lapsing_ = false;
-    bool domain_out_ = false;
-    // Calls of this host in progress.
-    std::uint32_t calls_ = 0;
-    // Moving average of call_time::relative, as of relative_latency_at_.
-    double relative_latency_ = 1.0;
-    time_point relative_latency_at_{};
-    // Moving average of the calls without a usable reply, 0 to 1, as of failure_ratio_at_.
-    double failure_ratio_ = 0.0;
-    time_point failure_ratio_at_{};
-    reported_load last_load_report_;
-    time_point load_reported_at_{};
-    // calls_ at load_reported_at_.
-    std::uint32_t calls_at_load_report_ = 0;
-    // Moving average of the reported calls, running and waiting, as of load_reported_at_.
-    double average_load_ = 0.0;
-    // Until then the upstream is in backoff: it gets calls only if no other can take them.
-    time_point backoff_until_{};
-    // Failed and late calls since the last successful reply.
-    std::uint32_t consecutive_failures_ = 0;
-    bool stated_leaving_ = false;
-    time_point paused_until_{};
-    // As of limit_stated_at_.
-    stated_limit limit_;
-    time_point limit_stated_at_{};
-    // When the last limit ended; the epoch of the clock if there was none.
-    time_point limit_ended_at_{};
-    // This host's part of limit_; not used while there is none.
-    token_bucket limit_tokens_;
-    time_point cold_until_{};
-    // This host's part of the calls during a cold start. It holds at most one token, so that the
-    // hosts together send no burst.
-    token_bucket cold_tokens_;
-};
-
-using upstream_pointer = boost::intrusive_ptr<upstream>;
-
 /// Hash of an upstream's id and incarnation; the same on all hosts.
 using lifetime_key = std::uint64_t;
 
@@ -191,19 +58,15 @@
     /// Calls started to upstreams that stated a limit at that time.
     [[nodiscard]] std::uint64_t calls_to_limited() const { return calls_to_limited_; }
 
-    /// Chooses an upstream of `service` that is not in `excluded`, at random with a preference
-    /// for lower cost. Null if none can take a call. `excluded` is empty for the first call of a
-    /// request.
-    [[nodiscard]] upstream_pointer
-    choose(const service_name& service, std::span<const upstream_pointer> excluded, time_point now);
+    /// Chooses an upstream of `request.service` at random with a preference for lower cost. Null if
+    /// none can take a call.
+    [[nodiscard]] upstream_pointer choose(const choice_request& request);
     /// Estimated time that a call to the least loaded upstream of `service` waits for a slot;
     /// zero if nothing is known.
     [[nodiscard]] duration expected_wait(const service_name& service, time_point now) const;
-    /// True if an upstream of `service` that is not in `excluded` and not in backoff is
+    /// True if an upstream of `request.service` that is not excluded and not in backoff is
     /// estimated to have a free slot.
-    [[nodiscard]] bool has_free_slot(const service_name& service,
-                                     std::span<const upstream_pointer> excluded,
-                                     time_point now) const;
+    [[nodiscard]] bool has_free_slot(const choice_request& request) const;
     [[nodiscard]] bool has_usable(const service_name& service) const;
     /// When the rate limits of its upstreams allow this host a call to `service`: `now`, later, or
     /// time_point::max() if no usable upstream gives it a part of its limit.
@@ -258,32 +121,12 @@
     void restore_statements(upstream& it, time_point now);
     // Remembers what `it` has stated, because its entry may return.
     void keep_statements(const upstream_pointer& it, time_point now);
-    // Moving average of the relative latency, decayed towards 1.
-    [[nodiscard]] static double decayed_relative_latency(const upstream& it, time_point now);
-    // Moving average of the reported load, decayed towards 0.
-    [[nodiscard]] static double decayed_average_load(const upstream& it, time_point now);
-    // Estimate of the calls that all hosts have in progress: the last report, which approaches
-    // the average load as it ages, and the calls of this host since that report.
-    [[nodiscard]] static double estimated_load(const upstream& it, time_point now);
-    // Relative cost of a call; 1 for an idle upstream of usual latency.
-    [[nodiscard]] double cost(const upstream& it, time_point now) const;
-    // Whether the rate of calls is limited because `it` is in its cold start.
-    [[nodiscard]] bool cold_limited(const upstream& it, time_point now) const;
-    // When its cold start and its limit allow a call: `now` or later.
-    [[nodiscard]] time_point next_call_at(const upstream& it, time_point now) const;
-    [[nodiscard]] bool may_call(const upstream& it, time_point now) const;
-    // Whether first calls of requests leave the token that is there to a hedge or a retry. Only
-    // limits that give this host more than one token are reserved.
-    [[nodiscard]] static bool reserved(const upstream& it, time_point now);
     void divide_cold_rate(upstream& it, time_point now);
     void divide_limit(upstream& it, time_point now);
-    // Starts or extends the backoff; it doubles with each failure.
-    void back_off(upstream& it, time_point now);
-    static void record_result(upstream& it, bool failed, time_point now);
     void record_run_time(const upstream& it, duration elapsed);
 
     fleet_share share_;
-    failure_domain_id own_domain_;
+    upstream_choice choice_;
     random_source random_;
     std::set<failure_domain_id> domains_out_;
     std::unordered_map<upstream_id, upstream_pointer> by_id_;
--- a/tests/auto/fanout/tst_fanout.cpp
+++ b/tests/auto/fanout/tst_fanout.cpp
@@ -370,7 +370,7 @@
     f.reply(1);
     cr_assert(f.ended_as<merged_answer>() != nullptr);
     for (int it = 0; it < 20; ++it)
-        cr_assert(f.upstreams.choose(service_name{"s0"}, {}, f.now) != slow);
+        cr_assert(f.upstreams.choose({service_name{"s0"}, {}, f.now}) != slow);
 }
 
 // Limits leave too few shards. Guards against requests that are sent to some shards and fail, or
--- a/tests/auto/platform/tst_storecodec.cpp
+++ b/tests/auto/platform/tst_storecodec.cpp
@@ -64,6 +64,9 @@
     cr_assert(it.id.value() == "i-1" && it.service.value() == "s1" && it.domain.value() == "z");
     cr_assert(to_string(it.address) == "10.0.0.9:8080" && it.slots == 4 && !it.leaving);
     cr_assert(it.cold_remaining == 1200ms && it.incarnation == 1790244877088);
+    cr_assert(it.version == "v1");
+    const auto unversioned = decode_upstream("i-1", replaced(entry_text, R"("version":"v1",)", ""));
+    cr_assert(std::get<upstream_entry>(unversioned).version.empty());
 }
 
 // Failure: an entry that another writer has overwritten, with missing fields or fields of another
@@ -80,6 +83,7 @@
     cr_assert(unreadable(replaced(entry_text, "\"slots\":4", "\"slots\":\"4\"")));
     cr_assert(unreadable(replaced(entry_text, "\"slots\":4", "\"slots\":true")));
     cr_assert(unreadable(replaced(entry_text, "\"slots\":4", "\"slots\":-4")));
+    cr_assert(unreadable(replaced(entry_text, "\"v1\"", "7")));
     cr_assert(unreadable(replaced(entry_text, "1790244877088", "17.5")));
     cr_assert(unreadable(replaced(entry_text, "1790244877088", "\"x\"")));
     for (const char* address : {"10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9", "a:80",
--- a/tests/auto/upstreams/tst_upstreamtable.cpp
+++ b/tests/auto/upstreams/tst_upstreamtable.cpp
@@ -30,7 +30,7 @@
     {
         std::map<std::string, int> out;
         for (int it = 0; it < count; ++it) {
-            const auto chosen = table.choose(service, {}, now);
+            const auto chosen = table.choose({service, {}, now});
             ++out[chosen ? chosen->entry().id.value() : ""];
         }
         return out;
@@ -284,7 +284,7 @@
             if (second == 0 && step == 1)
                 calls_in_first_step = calls;
             for (auto& it : tables) {
-                const auto chosen = it.choose(service, {}, now);
+                const auto chosen = it.choose({service, {}, now});
                 if (!chosen)
                     continue;
                 ++calls;
@@ -299,8 +299,8 @@
     cr_assert(calls >= 0.7 * calls_per_second * 9);
     // After the cold start there is no limit.
     now += 2s;
-    cr_assert(tables.front().choose(service, {}, now) != nullptr);
-    cr_assert(tables.front().choose(service, {}, now) != nullptr);
+    cr_assert(tables.front().choose({service, {}, now}) != nullptr);
+    cr_assert(tables.front().choose({service, {}, now}) != nullptr);
 }
 
 // Guards against calls beyond this host's part of a limit, also as hedges or as a last resort, and
@@ -316,9 +316,9 @@
     for (int step = 0; step < 1000; ++step, f.now += 10ms) {
         if (step == 500)
             f.table.limit_stated(f.at("a"), {8.0}, f.now, f.now);
-        const bool free_slot = f.table.has_free_slot(service, {}, f.now);
+        const bool free_slot = f.table.has_free_slot({service, {}, f.now});
         cr_assert(free_slot == (f.table.next_call_at(service, f.now) == f.now));
-        if (f.table.choose(service, {}, f.now)) {
+        if (f.table.choose({service, {}, f.now})) {
             cr_assert(free_slot);
             f.call("a", call_result::replied);
             ++calls;
@@ -366,9 +366,9 @@
     f.add("a");
     f.table.limit_stated(f.at("a"), {0.0}, f.now, f.now);
     f.now += 1s;
-    cr_assert(!f.table.choose(service, {}, f.now));
+    cr_assert(!f.table.choose({service, {}, f.now}));
     f.now += 1s;
-    cr_assert(f.table.choose(service, {}, f.now) != nullptr);
+    cr_assert(f.table.choose({service, {}, f.now}) != nullptr);
 }
 
 // Guards against an older statement that replaces a later one, statements that are passed on for
@@ -435,14 +435,14 @@
     f.now += 500ms;
     cr_assert(f.choices(50)["b"] == 50);
     const std::vector<upstream_pointer> tried{f.table.find(upstream_id{"b"})};
-    cr_assert(f.table.choose(service, tried, f.now) == f.table.find(upstream_id{"a"}));
+    cr_assert(f.table.choose({service, tried, f.now}) == f.table.find(upstream_id{"a"}));
     f.now += 500ms;
     cr_assert(f.choices(50)["a"] > 0);
     // Without another upstream, first calls use it too.
     f.call("a", call_result::replied);
     f.call("a", call_result::replied);
     f.table.remove(upstream_id{"b"}, f.now);
-    cr_assert(f.table.choose(service, {}, f.now) != nullptr);
+    cr_assert(f.table.choose({service, {}, f.now}) != nullptr);
 }
 
 // Guards against calls to an upstream that has stated that it is leaving, as a hedge or as a last
@@ -454,8 +454,8 @@
     const upstream_entry entry = f.at("a").entry();
     f.table.leaving_stated(f.at("a"));
     const auto gets_no_calls = [&] {
-        return !f.table.choose(service, {}, f.now) && !f.table.has_usable(service) &&
-               !f.table.has_free_slot(service, {}, f.now) && f.table.leaving_count() == 1;
+        return !f.table.choose({service, {}, f.now}) && !f.table.has_usable(service) &&
+               !f.table.has_free_slot({service, {}, f.now}) && f.table.leaving_count() == 1;
     };
     cr_assert(gets_no_calls());
     f.table.upsert(entry, f.now);
@@ -534,8 +534,9 @@
     f.table.pause_stated(f.at("a"), f.now + 10s);
     f.table.pause_stated(f.at("a"), f.now + 1s);
     const auto gets_no_calls = [&] {
-        return !f.table.choose(service, {}, f.now) && !f.table.has_free_slot(service, {}, f.now) &&
-               !f.at("a").accepts_calls(f.now) && f.table.paused_count(f.now) == 1;
+        return !f.table.choose({service, {}, f.now}) &&
+               !f.table.has_free_slot({service, {}, f.now}) && !f.at("a").accepts_calls(f.now) &&
+               f.table.paused_count(f.now) == 1;
     };
     cr_assert(gets_no_calls());
     cr_assert(f.table.next_call_at(service, f.now) == f.now + 10s);
