gateway: no order on a connection that has carried an unnamed reply

A refusal (503 with the header field that says it has not run, or 421) may name no request. A reply without a name belonged to the current call as long as no reply on its connection had named one, so on a connection that had carried only unnamed refusals a late second copy of such a refusal was taken for the refusal of the next request. A request that must not be repeated was then sent to another upstream, or answered with 503, while the first one ran it.

Such a request is now sent only on a connection on which every reply has named its request. The rule stands in upstream_connection::suits(), beside the one for recently used connections, and applies to idle connections and to those that become free while calls wait. Calls that no free connection suits get a new one. Closing the connection after each unnamed refusal was ruled out: it costs new connections for idempotent requests, just when the upstream is full.

The other paths that end a request as not run (not_sent before the request is encoded, not_sent_in_time, end_early) were read without finding another one.

--- a/src/libs/gateway/callerrequest.cpp
+++ b/src/libs/gateway/callerrequest.cpp
@@ -72,7 +72,7 @@
     upstream_call_plan plan;
     plan.to = action.to;
     plan.request_id = id_;
-    plan.needs_recent_connection = !fan_out_.plan().matched_route->idempotent;
+    plan.at_most_once = !fan_out_.plan().matched_route->idempotent;
     plan.bodyless_reply = exchange_.request().method == "HEAD";
     plan.encode = [self = caller_request_pointer{this}, to = action.to, number = action.call,
                    deadline]() -> std::string {
--- a/src/libs/gateway/upstreamcall.h
+++ b/src/libs/gateway/upstreamcall.h
@@ -22,9 +22,9 @@
     upstream_pointer to;
     // A reply that names another request is rejected.
     std::string request_id;
-    // Send only on a new or recently used connection, because the upstream may have closed
-    // another one, and a non-idempotent request that is lost there cannot be repeated.
-    bool needs_recent_connection = false;
+    // The upstream must not run the request twice, so the caller may only be told that it has not
+    // run if that is certain.
+    bool at_most_once = false;
     // The reply has no body even if its header states a length, as after a HEAD request.
     bool bodyless_reply = false;
     // Encodes the request when it is sent; empty if it must not be sent any more.
--- a/src/libs/gateway/upstreamconnection.cpp
+++ b/src/libs/gateway/upstreamconnection.cpp
@@ -84,9 +84,11 @@
     return timers_.now() - idle_since_;
 }
 
-bool upstream_connection::recently_used() const
+bool upstream_connection::suits(const upstream_call_plan& plan) const
 {
-    return idle_time() < gateway_constants::recent_use_limit;
+    if (!plan.at_most_once)
+        return true;
+    return idle_time() < gateway_constants::recent_use_limit && !carried_unnamed_reply_;
 }
 
 bool upstream_connection::expired() const
@@ -210,6 +212,7 @@
                              ? !names_requests_
                              : decoded.request_id == call_->plan().request_id;
     names_requests_ = names_requests_ || !decoded.request_id.empty();
+    carried_unnamed_reply_ = carried_unnamed_reply_ || decoded.request_id.empty();
     if (!belongs) {
         // A late second reply to an earlier request. The replies that follow cannot be matched
         // to requests reliably, so the connection is closed.
--- a/src/libs/gateway/upstreamconnection.h
+++ b/src/libs/gateway/upstreamconnection.h
@@ -54,8 +54,10 @@
     [[nodiscard]] bool idle() const { return connected_ && !closed_ && !call_; }
     /// Time since the last reply, or since the connection was established.
     [[nodiscard]] duration idle_time() const;
-    /// Used so recently that the upstream has not closed it as idle.
-    [[nodiscard]] bool recently_used() const;
+    /// Whether the call may be sent on this connection. One that must run at most once needs a
+    /// connection that the upstream has not closed as idle, because it cannot be repeated if it
+    /// is lost there, and on which a late copy of an earlier reply cannot be taken for its own.
+    [[nodiscard]] bool suits(const upstream_call_plan& plan) const;
     /// Idle for longer than the upstream or this host keeps it open.
     [[nodiscard]] bool expired() const;
 
@@ -89,6 +91,9 @@
     // A reply on this connection has named its request. One that does not, later, may belong to
     // an earlier request.
     bool names_requests_ = false;
+    // A reply on this connection has not named its request. A second copy of it cannot be told
+    // from the reply to a later request.
+    bool carried_unnamed_reply_ = false;
     bool connected_ = false;
     bool ever_ready_ = false;
     bool writing_ = false;
--- a/src/libs/gateway/upstreampool.cpp
+++ b/src/libs/gateway/upstreampool.cpp
@@ -2,6 +2,7 @@
 #include "gateway/upstreampool.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace ebonywick {
 
@@ -32,41 +33,41 @@
     upstream_call_pointer call{new upstream_call{std::move(plan)}};
     const upstream_pointer& to = call->plan().to;
     pool_entry& it = entry_of(to);
-    const bool recent = call->plan().needs_recent_connection;
-    if (const auto connection = take_idle(it, recent)) {
+    if (const auto connection = take_idle(it, call->plan())) {
         connection->send(call);
         return call;
     }
     it.waiting.push_back(call);
-    const std::size_t limit = connection_limit_(*to);
-    if (recent)
-        evict_idle(it, limit);
-    if (it.count < limit && it.connecting < it.waiting.size())
-        open(to, it);
+    open_for_waiting(to, it);
     return call;
 }
 
-upstream_connection_pointer upstream_pool::take_idle(pool_entry& of, bool recent)
+upstream_connection_pointer upstream_pool::take_idle(pool_entry& of, const upstream_call_plan& plan)
 {
     std::vector<upstream_connection_pointer> expired;
-    upstream_connection_pointer out;
-    while (!of.idle.empty()) {
-        if (of.idle.back()->expired()) {
-            expired.push_back(std::move(of.idle.back()));
-            of.idle.pop_back();
-            continue;
-        }
-        if (recent && !of.idle.back()->recently_used())
-            break;
-        out = std::move(of.idle.back());
-        of.idle.pop_back();
-        break;
-    }
+    std::copy_if(of.idle.begin(), of.idle.end(), std::back_inserter(expired),
+                 [](const auto& it) { return it->expired(); });
     for (const auto& it : expired)
         it->close();
+    const auto suited = std::find_if(of.idle.rbegin(), of.idle.rend(),
+                                     [&](const auto& it) { return it->suits(plan); });
+    if (suited == of.idle.rend())
+        return {};
+    upstream_connection_pointer out = std::move(*suited);
+    of.idle.erase(std::next(suited).base());
     return out;
 }
 
+void upstream_pool::open_for_waiting(const upstream_pointer& to, pool_entry& of)
+{
+    if (of.connecting >= of.waiting.size())
+        return;
+    const std::size_t limit = connection_limit_(*to);
+    evict_idle(of, limit);
+    if (of.count < limit && of.connecting < of.waiting.size())
+        open(to, of);
+}
+
 void upstream_pool::evict_idle(pool_entry& of, std::size_t limit)
 {
     while (of.count >= limit && !of.idle.empty()) {
@@ -101,16 +102,22 @@
         connection->mark_ready();
     }
     drop_ended_calls(it);
-    if (it.waiting.empty()) {
-        if (connection->to()->usable())
-            it.idle.push_back(connection);
-        else
-            connection->close();
+    const auto next = std::find_if(it.waiting.begin(), it.waiting.end(), [&](const auto& call) {
+        return call->open() && connection->suits(call->plan());
+    });
+    if (next != it.waiting.end()) {
+        const upstream_call_pointer call = std::move(*next);
+        it.waiting.erase(next);
+        connection->send(call);
+        return;
+    }
+    if (!connection->to()->usable()) {
+        connection->close();
         return;
     }
-    const upstream_call_pointer call = std::move(it.waiting.front());
-    it.waiting.pop_front();
-    connection->send(call);
+    it.idle.push_back(connection);
+    if (!it.waiting.empty())
+        open_for_waiting(connection->to(), it);
 }
 
 void upstream_pool::on_closed(const upstream_connection_pointer& connection)
--- a/src/libs/gateway/upstreampool.h
+++ b/src/libs/gateway/upstreampool.h
@@ -12,7 +12,7 @@
 
 namespace ebonywick {
 
-/// Calls to an upstream wait for a connection in order of arrival. Not thread-safe.
+/// Calls to an upstream wait in order of arrival for a connection that suits them. Not thread-safe.
 class upstream_pool
 {
 public:
@@ -60,7 +60,11 @@
     void on_ready(const upstream_connection_pointer& connection);
     void on_closed(const upstream_connection_pointer& connection);
     void open(const upstream_pointer& to, pool_entry& of);
-    [[nodiscard]] upstream_connection_pointer take_idle(pool_entry& of, bool recent);
+    // The most recently used idle connection that suits the call; null if there is none.
+    [[nodiscard]] static upstream_connection_pointer take_idle(pool_entry& of,
+                                                               const upstream_call_plan& plan);
+    // Makes room for the calls that no idle connection suits, and opens a connection for them.
+    void open_for_waiting(const upstream_pointer& to, pool_entry& of);
     // Closes the least recently used idle connections until a new one may be opened.
     static void evict_idle(pool_entry& of, std::size_t limit);
     static void drop_ended_calls(pool_entry& of);
--- a/tests/auto/gateway/scriptedupstream.h
+++ b/tests/auto/gateway/scriptedupstream.h
@@ -37,6 +37,8 @@
     }
 
     [[nodiscard]] const std::vector<std::string>& requests() const { return requests_; }
+    /// Position of the current request on its connection, counted from 1.
+    [[nodiscard]] std::size_t position() const { return position_; }
     /// Value of a header field of a request; empty if there is none.
     [[nodiscard]] static std::string field(const std::string& request, const std::string& name)
     {
@@ -54,6 +56,7 @@
         explicit connection(boost::asio::ip::tcp::socket it) : socket(std::move(it)) {}
         boost::asio::ip::tcp::socket socket;
         std::array<char, 8192> input{};
+        std::size_t requests = 0;
         std::string output;
     };
 
@@ -73,6 +76,7 @@
                 if (ec)
                     return;
                 requests_.emplace_back(it->input.data(), n);
+                position_ = ++it->requests;
                 scripted_reply reply = reply_to_(requests_.back());
                 it->output = std::move(reply.bytes);
                 boost::asio::async_write(
@@ -90,6 +94,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     script reply_to_;
     std::vector<std::string> requests_;
+    std::size_t position_ = 0;
 };
 
 } // namespace ebonywick
--- a/tests/auto/gateway/tst_replyownership.cpp
+++ b/tests/auto/gateway/tst_replyownership.cpp
@@ -111,3 +111,51 @@
 {
     check_all_replies(true);
 }
+
+// Guards against a late second copy of a refusal, which names no request, that is taken for the
+// refusal of the next order: the caller would be told that an order has not run while it runs.
+Test(reply_ownership, late_copy_of_a_refusal_refuses_no_other_order, .timeout = 60)
+{
+    for (const int status : {421, 503}) {
+        gateway_fixture f{1, fixture_clock::by_hand};
+        f.connection_limit = 1;
+        f.settings.extra_call_slack = 10'000;
+        const reply_form refusal{status, named_request::none, status == 503};
+        std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+        bool refuses = true;
+        std::vector<std::string> run;
+        // Both upstreams of `orders`.
+        for (const std::size_t index : {2U, 3U}) {
+            const endpoint at = free_address();
+            upstreams.push_back(std::make_unique<scripted_upstream>(
+                f.loop, at, [&, own = upstreams.size()](const std::string& request) {
+                    const auto id = scripted_upstream::field(request, "X-Request-Id");
+                    const bool copy_is_due = upstreams[own]->position() > 1;
+                    if (refuses && !copy_is_due)
+                        return scripted_reply{reply_text(refusal, "")};
+                    run.push_back(id);
+                    return scripted_reply{copy_is_due ? reply_text(refusal, "")
+                                                      : reply_text({}, id)};
+                }));
+            f.entries[index]["address"] = to_string(at);
+        }
+        f.start_ready();
+        // Some of them wait for the connections that carry the refusals of the others.
+        std::vector<std::unique_ptr<http_channel>> callers;
+        std::size_t refused = 0;
+        for (int it = 0; it < 4; ++it) {
+            callers.push_back(std::make_unique<http_channel>(f.loop, f.timers, f.settings.callers));
+            callers.back()->call(
+                f.request_text("POST", "/o/x", fmt::format("together-{}", it), "body"), 5s,
+                [&](const auto& reply) { refused += reply && reply->status == 503 ? 1 : 0; });
+        }
+        f.run(2500ms);
+        cr_expect_eq(refused, 4, "refusal %d: %zu", status, refused);
+        cr_expect(run.empty(), "refusal %d: %zu run", status, run.size());
+        // The connections that have carried the refusals are still in use.
+        cr_assert_eq(f.order("refused").status, 503);
+        refuses = false;
+        const auto answer = f.order("run");
+        cr_expect_eq(answer.status, 200, "refusal %d: %d", status, answer.status);
+    }
+}
