gateway: a destroyed pool closes its connections and abandons its calls

A gateway that was destroyed while its event loop runs on left its connections to upstreams open. Pending operations keep a connection alive, and its next reply, failure or timeout called functions of the pool, which was gone. Seen with valgrind in a test; the process ends its loop first, so no caller met it.

The pool now keeps an intrusive list of its connections. Its destructor closes them without a callback, and abandons the calls that they carry or that wait, which also breaks the cycle between a call and its caller's request. A shared state with a flag was ruled out: every callback would have to ask for it.

--- a/src/libs/gateway/upstreamcall.cpp
+++ b/src/libs/gateway/upstreamcall.cpp
@@ -11,4 +11,11 @@
         ended(std::move(outcome));
 }
 
+void upstream_call::abandon()
+{
+    connection_ = nullptr;
+    const auto encode = std::exchange(plan_.encode, nullptr);
+    const auto ended = std::exchange(plan_.ended, nullptr);
+}
+
 } // namespace ebonywick
--- a/src/libs/gateway/upstreamcall.h
+++ b/src/libs/gateway/upstreamcall.h
@@ -44,6 +44,8 @@
     [[nodiscard]] const upstream_call_plan& plan() const { return plan_; }
     /// Reports the outcome, at most once and not after abandon().
     void end(call_outcome outcome);
+    /// No outcome is reported any more. Releases what the functions of the plan keep alive.
+    void abandon();
     /// Neither ended nor abandoned.
     [[nodiscard]] bool open() const { return plan_.ended != nullptr; }
 
--- a/src/libs/gateway/upstreamconnection.cpp
+++ b/src/libs/gateway/upstreamconnection.cpp
@@ -252,11 +252,26 @@
 {
     if (closed_)
         return;
+    close_socket();
+    events_.closed(upstream_connection_pointer{this});
+}
+
+void upstream_connection::detach()
+{
+    const upstream_connection_pointer self{this};
+    unlink();
+    if (!closed_)
+        close_socket();
+    if (const upstream_call_pointer call = std::exchange(call_, nullptr))
+        call->abandon();
+}
+
+void upstream_connection::close_socket()
+{
     closed_ = true;
     connect_timeout_.cancel();
     error_code ignored;
     socket_.close(ignored);
-    events_.closed(upstream_connection_pointer{this});
 }
 
 } // namespace ebonywick
--- a/src/libs/gateway/upstreamconnection.h
+++ b/src/libs/gateway/upstreamconnection.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/intrusive/list.hpp>
 
 #include <array>
 #include <functional>
@@ -36,7 +37,9 @@
 /// that belong to another request, never become a reply: the connection is closed instead. Not
 /// thread-safe.
 class upstream_connection
-    : public boost::intrusive_ref_counter<upstream_connection, boost::thread_unsafe_counter>
+    : public boost::intrusive_ref_counter<upstream_connection, boost::thread_unsafe_counter>,
+      public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
     upstream_connection(boost::asio::io_context& loop, timer_queue& timers, upstream_pointer to,
@@ -46,6 +49,9 @@
     /// Sends the call; the connection must be idle.
     void send(const upstream_call_pointer& call);
     void close();
+    /// Closes the connection without a callback and abandons its call. The pool may be destroyed
+    /// afterwards.
+    void detach();
 
     [[nodiscard]] const upstream_pointer& to() const { return to_; }
     /// The pool has counted the connection as established.
@@ -74,6 +80,7 @@
     // Closes the connection and ends the call, if there is one, with `failure`.
     void fail(call_failure failure);
     void become_idle();
+    void close_socket();
 
     boost::asio::ip::tcp::socket socket_;
     timer_queue& timers_;
--- a/src/libs/gateway/upstreampool.cpp
+++ b/src/libs/gateway/upstreampool.cpp
@@ -19,7 +19,16 @@
 {
 }
 
-upstream_pool::~upstream_pool() = default;
+upstream_pool::~upstream_pool()
+{
+    // Pending operations keep connections alive, and their callbacks use the pool.
+    while (!connections_.empty())
+        connections_.front().detach();
+    for (auto& entry : entries_) {
+        for (const auto& call : entry.second.waiting)
+            call->abandon();
+    }
+}
 
 upstream_pool::pool_entry& upstream_pool::entry_of(const upstream_pointer& to)
 {
@@ -85,6 +94,7 @@
     ++open_connections_;
     const upstream_connection_pointer connection{
         new upstream_connection{loop_, timers_, to, events_}};
+    connections_.push_back(*connection);
     connection->connect();
 }
 
--- a/src/libs/gateway/upstreampool.h
+++ b/src/libs/gateway/upstreampool.h
@@ -76,6 +76,9 @@
     // Only trim() removes entries, so that references to an entry stay valid in functions
     // whose callbacks call the pool again.
     std::unordered_map<const upstream*, pool_entry> entries_;
+    // All connections that have not been destroyed, also closed ones.
+    boost::intrusive::list<upstream_connection, boost::intrusive::constant_time_size<false>>
+        connections_;
     // Connections opened since the start.
     std::uint64_t opened_total_ = 0;
     // Connections to all upstreams, including those that are being set up.
--- a/tests/auto/gateway/scriptedupstream.h
+++ b/tests/auto/gateway/scriptedupstream.h
@@ -37,6 +37,7 @@
     }
 
     [[nodiscard]] const std::vector<std::string>& requests() const { return requests_; }
+    [[nodiscard]] std::size_t open_connections() const { return open_connections_; }
     /// Position of the current request on its connection, counted from 1.
     [[nodiscard]] std::size_t position() const { return position_; }
     /// Value of a header field of a request; empty if there is none.
@@ -65,6 +66,7 @@
         acceptor_.async_accept([this](const error_code& ec, boost::asio::ip::tcp::socket socket) {
             if (ec)
                 return;
+            ++open_connections_;
             serve(std::make_shared<connection>(std::move(socket)));
             accept();
         });
@@ -73,8 +75,10 @@
     {
         it->socket.async_read_some(
             boost::asio::buffer(it->input), [this, it](const error_code& ec, std::size_t n) {
-                if (ec)
+                if (ec) {
+                    --open_connections_;
                     return;
+                }
                 requests_.emplace_back(it->input.data(), n);
                 position_ = ++it->requests;
                 scripted_reply reply = reply_to_(requests_.back());
@@ -83,10 +87,12 @@
                     it->socket, boost::asio::buffer(it->output),
                     [this, it, close = reply.close](const error_code& failed, std::size_t) {
                         error_code ignored;
-                        if (failed || close)
+                        if (failed || close) {
+                            --open_connections_;
                             it->socket.close(ignored);
-                        else
+                        } else {
                             serve(it);
+                        }
                     });
             });
     }
@@ -95,6 +101,7 @@
     script reply_to_;
     std::vector<std::string> requests_;
     std::size_t position_ = 0;
+    std::size_t open_connections_ = 0;
 };
 
 } // namespace ebonywick
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -1,5 +1,6 @@
 // Tests a complete gateway with stand-ins of faulty upstreams and a faulty store.
 #include "gatewayfixture.h"
+#include "scriptedupstream.h"
 
 #include "base/hashing.h"
 #include "gateway/constants.h"
@@ -426,3 +427,30 @@
     f.store.set_faults({});
     cr_assert(f.wait_until([&] { return ask("r2") == 404; }));
 }
+
+// Guards against connections to upstreams that use the pool of a gateway which has been destroyed:
+// here one whose upstream has not replied.
+Test(gateway, destroyed_gateway_leaves_no_connection_to_an_upstream, .timeout = 60)
+{
+    gateway_fixture f{1, fixture_clock::by_hand};
+    std::vector<std::unique_ptr<scripted_upstream>> silent;
+    // Both upstreams of `orders`.
+    for (const std::size_t index : {2U, 3U}) {
+        const endpoint at = free_address();
+        silent.push_back(std::make_unique<scripted_upstream>(
+            f.loop, at, [](const std::string&) { return scripted_reply{}; }));
+        f.entries[index]["address"] = to_string(at);
+    }
+    f.start_ready();
+    http_channel caller{f.loop, f.timers, f.settings.callers};
+    caller.call(f.request_text("POST", "/o/x", "open", "body"), 5s, [](const auto&) {});
+    const auto open = [&] {
+        return silent[0]->open_connections() + silent[1]->open_connections();
+    };
+    f.run(100ms);
+    cr_assert_eq(silent[0]->requests().size() + silent[1]->requests().size(), 1);
+    cr_assert_gt(open(), 0);
+    f.instance.reset();
+    f.run(100ms);
+    cr_assert_eq(open(), 0, "%zu open", open());
+}
