--- a/src/libs/gateway/upstreamconnection.h
+++ b/src/libs/gateway/upstreamconnection.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/intrusive/list.hpp>
 
 #include <array>
 #include <functional>
@@ -36,7 +37,9 @@
 /// that belong to another request, never become a reply: the connection is closed instead. Not
 /// thread-safe.
 class upstream_connection
-    : public boost::intrusive_ref_counter<upstream_connection, boost::thread_unsafe_counter>
+    : public boost::intrusive_ref_counter<upstream_connection, boost::thread_unsafe_counter>,
+      public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
     upstream_connection(boost::asio::io_context& loop, timer_queue& timers, upstream_pointer to,
@@ -46,6 +49,9 @@
     /// Sends the call; the connection must be idle.
     void send(const upstream_call_pointer& call);
     void close();
+    /// Closes the connection without a callback and abandons its call. The pool may be destroyed
+    /// afterwards.
+    void detach();
 
     [[nodiscard]] const upstream_pointer& to() const { return to_; }
     /// The pool has counted the connection as established.
@@ -54,8 +60,10 @@
     [[nodiscard]] bool idle() const { return connected_ && !closed_ && !call_; }
     /// Time since the last reply, or since the connection was established.
     [[nodiscard]] duration idle_time() const;
-    /// Used so recently that the upstream has not closed it as idle.
-    [[nodiscard]] bool recently_used() const;
+    /// Whether the call may be sent on this connection. One that must run at most once needs a
+    /// connection that the upstream has not closed as idle, because it cannot be repeated if it
+    /// is lost there, and on which a late copy of an earlier reply cannot be taken for its own.
+    [[nodiscard]] bool suits(const upstream_call_plan& plan) const;
     /// Idle for longer than the upstream or this host keeps it open.
     [[nodiscard]] bool expired() const;
 
@@ -72,6 +80,7 @@
     // Closes the connection and ends the call, if there is one, with `failure`.
     void fail(call_failure failure);
     void become_idle();
+    void close_socket();
 
     boost::asio::ip::tcp::socket socket_;
     timer_queue& timers_;
@@ -89,6 +98,9 @@
     // A reply on this connection has named its request. One that does not, later, may belong to
     // an earlier request.
     bool names_requests_ = false;
+    // A reply on this connection has not named its request. A second copy of it cannot be told
+    // from the reply to a later request.
+    bool carried_unnamed_reply_ = false;
     bool connected_ = false;
     bool ever_ready_ = false;
     bool writing_ = false;
--- a/tests/auto/gateway/scriptedupstream.h
+++ b/tests/auto/gateway/scriptedupstream.h
@@ -37,6 +37,9 @@
     }
 
     [[nodiscard]] const std::vector<std::string>& requests() const { return requests_; }
+    [[nodiscard]] std::size_t open_connections() const { return open_connections_; }
+    /// Position of the current request on its connection, counted from 1.
+    [[nodiscard]] std::size_t position() const { return position_; }
     /// Value of a header field of a request; empty if there is none.
     [[nodiscard]] static std::string field(const std::string& request, const std::string& name)
     {
@@ -54,6 +57,7 @@
         explicit connection(boost::asio::ip::tcp::socket it) : socket(std::move(it)) {}
         boost::asio::ip::tcp::socket socket;
         std::array<char, 8192> input{};
+        std::size_t requests = 0;
         std::string output;
     };
 
@@ -62,6 +66,7 @@
         acceptor_.async_accept([this](const error_code& ec, boost::asio::ip::tcp::socket socket) {
             if (ec)
                 return;
+            ++open_connections_;
             serve(std::make_shared<connection>(std::move(socket)));
             accept();
         });
@@ -70,19 +75,24 @@
     {
         it->socket.async_read_some(
             boost::asio::buffer(it->input), [this, it](const error_code& ec, std::size_t n) {
-                if (ec)
+                if (ec) {
+                    --open_connections_;
                     return;
+                }
                 requests_.emplace_back(it->input.data(), n);
+                position_ = ++it->requests;
                 scripted_reply reply = reply_to_(requests_.back());
                 it->output = std::move(reply.bytes);
                 boost::asio::async_write(
                     it->socket, boost::asio::buffer(it->output),
                     [this, it, close = reply.close](const error_code& failed, std::size_t) {
                         error_code ignored;
-                        if (failed || close)
+                        if (failed || close) {
+                            --open_connections_;
                             it->socket.close(ignored);
-                        else
+                        } else {
                             serve(it);
+                        }
                     });
             });
     }
@@ -90,6 +100,8 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     script reply_to_;
     std::vector<std::string> requests_;
+    std::size_t position_ = 0;
+    std::size_t open_connections_ = 0;
 };
 
 } // namespace ebonywick
