--- a/tests/standins/platform/platformupstream.cpp
+++ b/tests/standins/platform/platformupstream.cpp
@@ -58,7 +58,7 @@
 std::string platform_upstream::result_records(const std::string& request_id) const
 {
     std::string out;
-    for (std::uint64_t it = 1; it <= 5; ++it)
+    for (std::uint64_t it = 1; it <= options_.records; ++it)
         out += fmt::format("{:016x}", stable_hash(options_.id + request_id, it));
     return out;
 }
--- a/tests/standins/platform/platformupstream.h
+++ b/tests/standins/platform/platformupstream.h
@@ -51,6 +51,8 @@
     std::uint32_t queue = 24;
     // Time that a request takes.
     duration service_time = std::chrono::milliseconds{5};
+    // Records in a reply.
+    std::uint32_t records = 5;
 
     auto operator<=>(const upstream_options&) const = default;
 };
@@ -73,6 +75,12 @@
 
     /// Applies the fault to the next `count` requests.
     void fail_next(upstream_fault fault, std::size_t count);
+    /// From now on requests take this time, and replies have this number of records.
+    void set_replies(duration service_time, std::uint32_t records)
+    {
+        options_.service_time = service_time;
+        options_.records = records;
+    }
     /// From now on all replies state that the upstream is leaving, or no longer do.
     void state_leaving(bool leaving) { leaving_ = leaving; }
     /// Requests that arrive before `until` are refused without a run, with this text as the time
