gateway: memory and descriptors are shared among the connections of all servers

What sessions hold is now charged to one account: requests being read, requests until they are answered, and answers unread. Without room a session stops reading; if nobody can go on, those without progress are rejected with 503 and Retry-After, or closed. Complete requests without room are rejected before they are forwarded, so that the promise holds. Connections beyond their part of the descriptors close the longest idle one of the address with most. Read buffers belong to the server, no longer to each session; the system's receive buffer is fixed at 64 kB and charged while reading is stopped; requests sent ahead are read by at most one read buffer. A failure to accept is retried after 100 ms; before, it was repeated at once without end.

Ruled out: a buffer of the session that is freed when idle, because the wait without a buffer costs the same number of system calls.

Upstream replies, the store's replies and peers are not charged yet, and serve has no account.

--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -12,6 +12,15 @@
 
 // Size of the read buffer of a connection; most messages fit into one read.
 inline constexpr std::size_t read_buffer_bytes = 4096;
+// Receive buffer of a caller's connection in the system, which holds at most twice as much. A
+// larger one grows with the sender and counts for this host.
+inline constexpr int receive_buffer_bytes = 64 * 1024;
+// Pause after a failure to accept a connection.
+inline constexpr duration accept_pause = milliseconds{100};
+// When a caller may repeat a request that this host has no memory for.
+inline constexpr duration no_room_retry_after = seconds{1};
+// What a request may hold to count as small, for which room is reserved.
+inline constexpr std::size_t small_request_bytes = 4096;
 // Replies of upstreams with a larger body are rejected; declared replies stay below 20 kB.
 inline constexpr std::size_t max_upstream_reply_body_bytes = std::size_t{1} << 20U;
 // Connecting to an upstream normally takes a few milliseconds; after this time the upstream
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include <sys/resource.h>
+
 namespace ebonywick {
 
 namespace {
@@ -23,6 +25,7 @@
 constexpr int status_request_timeout = 408;
 constexpr int status_body_too_large = 413;
 constexpr int status_header_too_large = 431;
+constexpr int status_unavailable = 503;
 
 incarnation_number unix_time_ms()
 {
@@ -35,7 +38,12 @@
 {
     int status = status_bad_request;
     std::string_view reason = "malformed_request";
-    if (invalid.timed_out) {
+    std::optional<duration> retry_after;
+    if (invalid.no_room) {
+        status = status_unavailable;
+        reason = "no_room";
+        retry_after = gateway_constants::no_room_retry_after;
+    } else if (invalid.timed_out) {
         status = status_request_timeout;
         reason = "request_incomplete_in_time";
     } else if (invalid.state == read_state::header_too_large) {
@@ -45,10 +53,24 @@
         status = status_body_too_large;
         reason = "body_too_large";
     }
-    return platform::encode_answer(platform::error_answer{status, reason, {}},
+    return platform::encode_answer(platform::error_answer{status, reason, retry_after},
                                    platform::connection_use::close);
 }
 
+std::shared_ptr<session_keeper> make_session_keeper(timer_queue& timers,
+                                                    const gateway_settings& settings)
+{
+    rlimit system{};
+    std::uint64_t descriptors = settings.max_descriptors;
+    if (::getrlimit(RLIMIT_NOFILE, &system) == 0)
+        descriptors = std::min<std::uint64_t>(descriptors, system.rlim_cur);
+    const auto connections = static_cast<std::size_t>(static_cast<double>(descriptors) *
+                                                      settings.caller_descriptor_ratio);
+    const auto budget = memory::make_byte_budget(settings.memory_bytes, settings.held_bytes_ratio);
+    return std::make_shared<session_keeper>(
+        timers, memory::byte_account_pointer{new memory::byte_account{budget}}, connections);
+}
+
 host_record make_host_record(const gateway_settings& settings, incarnation_number incarnation)
 {
     return {.id = settings.host,
@@ -112,19 +134,23 @@
       heartbeat_link_(
           loop, settings.heartbeats,
           [this](const peer_message& it, const endpoint& from) { on_peer_message(it, from); }),
+      keeper_(make_session_keeper(timers, settings)),
       caller_server_(
           loop, timers, settings.callers,
-          {[this](http_exchange it) { on_caller_request(std::move(it)); }, encode_refusal}),
-      readiness_server_(
-          loop, timers, settings.readiness,
-          {[this](http_exchange it) { on_readiness(std::move(it)); }, encode_refusal}),
-      directory_server_(
-          loop, timers, settings.directory,
-          {[this](http_exchange it) { on_directory(std::move(it)); }, encode_refusal}),
+          {[this](http_exchange it) { on_caller_request(std::move(it)); }, encode_refusal},
+          keeper_),
+      readiness_server_(loop, timers, settings.readiness,
+                        {[this](http_exchange it) { on_readiness(std::move(it)); }, encode_refusal},
+                        keeper_),
+      directory_server_(loop, timers, settings.directory,
+                        {[this](http_exchange it) { on_directory(std::move(it)); }, encode_refusal},
+                        keeper_),
       metrics_server_(loop, timers, settings.metrics,
-                      {[this](http_exchange it) { on_metrics(std::move(it)); }, encode_refusal}),
+                      {[this](http_exchange it) { on_metrics(std::move(it)); }, encode_refusal},
+                      keeper_),
       control_server_(loop, timers, settings.control,
-                      {[this](http_exchange it) { on_control(std::move(it)); }, encode_refusal}),
+                      {[this](http_exchange it) { on_control(std::move(it)); }, encode_refusal},
+                      keeper_),
       snapshot_channel_(loop, timers, settings.control), reading_timer_(timers,
                                                                         [this] {
                                                                             if (reading_begun_)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -152,6 +152,7 @@
     collection_watch host_watch_;
     host_registration registration_;
     heartbeat_link heartbeat_link_;
+    std::shared_ptr<session_keeper> keeper_;
     http_server caller_server_;
     http_server readiness_server_;
     http_server directory_server_;
--- a/src/libs/gateway/httpserver.h
+++ b/src/libs/gateway/httpserver.h
@@ -2,6 +2,8 @@
 // other hosts.
 #pragma once
 
+#include "gateway/constants.h"
+#include "gateway/sessionkeeper.h"
 #include "gateway/timerqueue.h"
 #include "httpstream/messagereader.h"
 #include "routing/routing.h"
@@ -11,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -30,7 +33,8 @@
 class http_exchange
 {
 public:
-    http_exchange(http_session_pointer session, http_message request, time_point arrival);
+    http_exchange(http_session_pointer session, http_message request, time_point arrival,
+                  std::shared_ptr<memory::byte_charge> charge);
 
     [[nodiscard]] const http_message& request() const { return request_; }
     [[nodiscard]] time_point arrival() const { return arrival_; }
@@ -48,6 +52,8 @@
     http_session_pointer session_;
     http_message request_;
     time_point arrival_;
+    // Of the request, as long as the exchange or a copy of it exists.
+    std::shared_ptr<memory::byte_charge> charge_;
 };
 
 /// A request that could not be read, so that there is no exchange for it.
@@ -56,6 +62,8 @@
     read_state state = read_state::malformed;
     // The request was not complete within the header timeout.
     bool timed_out = false;
+    // The host has no memory for it.
+    bool no_room = false;
 };
 
 struct http_server_handlers
@@ -69,9 +77,10 @@
 class http_server
 {
 public:
-    /// Listens at once. Throws boost::system::system_error if the address cannot be used.
+    /// Listens at once. Throws boost::system::system_error if the address cannot be used. Servers
+    /// with the same keeper share its limits; without one there are none.
     http_server(boost::asio::io_context& loop, timer_queue& timers, const endpoint& address,
-                http_server_handlers handlers);
+                http_server_handlers handlers, std::shared_ptr<session_keeper> keeper = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
@@ -90,13 +99,19 @@
     friend class http_exchange;
 
     void accept();
+    void on_accepted(boost::asio::ip::tcp::socket socket);
 
     boost::asio::io_context& loop_;
     timer_queue& timers_;
     http_server_handlers handlers_;
+    std::shared_ptr<session_keeper> keeper_;
     caller_limits limits_;
     bool draining_ = false;
+    // For one read of any session; what was read is passed on at once.
+    std::array<char, gateway_constants::read_buffer_bytes> input_{};
     boost::asio::ip::tcp::acceptor acceptor_;
+    // Ends a pause after a failure to accept.
+    loop_timer accept_timer_;
     std::unique_ptr<http_session_list> sessions_;
 };
 
--- a/src/libs/httpstream/httpmessage.cpp
+++ b/src/libs/httpstream/httpmessage.cpp
@@ -21,6 +21,14 @@
 
 } // namespace
 
+std::size_t held_bytes(const http_message& message)
+{
+    std::size_t out = message.target.size() + message.body.capacity();
+    for (const auto& [name, value] : message.fields)
+        out += sizeof(message.fields[0]) + name.size() + value.size();
+    return out;
+}
+
 bool field_names_equal(std::string_view a, std::string_view b)
 {
     return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
--- a/src/libs/httpstream/httpmessage.h
+++ b/src/libs/httpstream/httpmessage.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -29,6 +30,9 @@
     [[nodiscard]] bool has_field(std::string_view name) const;
 };
 
+/// Memory that the message takes, in bytes.
+[[nodiscard]] std::size_t held_bytes(const http_message& message);
+
 /// Compares without regard to case.
 [[nodiscard]] bool field_names_equal(std::string_view a, std::string_view b);
 
--- a/src/libs/httpstream/messagereader.cpp
+++ b/src/libs/httpstream/messagereader.cpp
@@ -39,6 +39,8 @@
     }
 
     http_message message;
+    // Memory that the fields take, which are counted as they arrive.
+    std::size_t field_bytes = 0;
     // The header has `Expect: 100-continue`.
     bool expects_continue = false;
 
@@ -60,6 +62,7 @@
         if (name == http::field::expect && boost::beast::iequals(value, "100-continue"))
             expects_continue = true;
         message.fields.emplace_back(copy(name_text), copy(value));
+        field_bytes += sizeof(message.fields[0]) + name_text.size() + value.size();
     }
     void on_header_impl(error_code& /*ec*/) override {}
     void on_body_init_impl(boost::optional<std::uint64_t> const& /*length*/,
@@ -276,4 +279,18 @@
            std::visit([](const auto& it) { return it.message.body.size(); }, *impl_->parser);
 }
 
+std::size_t message_reader::held_bytes() const
+{
+    return impl_->unparsed.capacity() +
+           std::visit([](const auto& it) { return it.message.body.capacity() + it.field_bytes; },
+                      *impl_->parser);
+}
+
+void message_reader::discard()
+{
+    impl_->reset();
+    std::string{}.swap(impl_->unparsed);
+    impl_->state = read_state::malformed;
+}
+
 } // namespace ebonywick
--- a/src/libs/httpstream/messagereader.h
+++ b/src/libs/httpstream/messagereader.h
@@ -75,6 +75,10 @@
     [[nodiscard]] bool expects_continue() const;
     /// Size of the unparsed bytes and of the body received so far.
     [[nodiscard]] std::size_t buffered_bytes() const;
+    /// Memory that the unparsed bytes and the current message take, in bytes.
+    [[nodiscard]] std::size_t held_bytes() const;
+    /// Drops the current message and the unparsed bytes; the stream cannot be read any further.
+    void discard();
 
 private:
     struct impl;
--- a/src/libs/settings/gatewaysettings.h
+++ b/src/libs/settings/gatewaysettings.h
@@ -26,6 +26,12 @@
     std::vector<endpoint> seeds;
     // Processor cores that are available to this host.
     double processor_share = 1.0;
+    // Memory of this process, and the part of it for what is held for callers and others.
+    std::uint64_t memory_bytes = std::uint64_t{1024} << 20U;
+    double held_bytes_ratio = 0.35;
+    // Descriptors of this process, and the part of them for accepted connections.
+    std::uint32_t max_descriptors = 65536;
+    double caller_descriptor_ratio = 0.6;
     // Time between SIGTERM and SIGKILL.
     duration grace = std::chrono::seconds{6};
     // Limit of extra calls (hedges and retries) of all hosts together: `extra_call_ratio` per
--- a/src/libs/settings/yamlreader.cpp
+++ b/src/libs/settings/yamlreader.cpp
@@ -181,6 +181,10 @@
     out.store = section.address("store");
     out.seeds = section.addresses("seeds");
     out.processor_share = section.number("processor_share");
+    out.memory_bytes = static_cast<std::uint64_t>(section.integer("memory_mb")) << 20U;
+    out.held_bytes_ratio = section.number("held_bytes_ratio");
+    out.max_descriptors = static_cast<std::uint32_t>(section.integer("max_descriptors"));
+    out.caller_descriptor_ratio = section.number("caller_descriptor_ratio");
     out.grace = milliseconds_to_duration(section.number("grace_s") * 1000);
     out.extra_call_ratio = section.number("extra_call_ratio");
     out.extra_call_window = milliseconds_to_duration(section.number("extra_call_window_s") * 1000);
