upstreams: load reports with a pace are read, and the pace counts while it is fresh

parse_load() took the third figure to the end of the text, so a report with the fourth figure, the present duration of work in percent of the usual, was dropped as a whole. The pace is optional; an invalid one leaves the other figures valid. Its average is in the latency that the host observes, so only the ratio to the average counts in the choice, with a half-life of 100 ms.

Probes for a fresher figure were ruled out.

--- a/src/libs/upstreams/upstreamchoice.cpp
+++ b/src/libs/upstreams/upstreamchoice.cpp
@@ -36,7 +36,7 @@
 
 double upstream_choice::cost(const upstream& it, time_point now) const
 {
-    double out = it.observed().relative_latency(now);
+    double out = it.observed().relative_latency(now) * it.observed().relative_pace(now);
     const double failure_ratio = it.observed().failure_ratio(now);
     out /= std::pow(1.0 - std::min(failure_ratio, max_failure_ratio), failure_exponent);
     const double slots = slots_of(it);
--- a/src/libs/upstreams/upstreamobservation.cpp
+++ b/src/libs/upstreams/upstreamobservation.cpp
@@ -29,6 +29,12 @@
 // while no report comes. An overload lasts for seconds.
 constexpr duration average_load_update_half_life = milliseconds{100};
 constexpr duration average_load_half_life = milliseconds{400};
+// Half-life of the deviation of the pace from its average. The pace changes many times a second.
+constexpr duration pace_half_life = milliseconds{100};
+// Number of reports over which the pace is averaged, and bounds of its ratio to the average.
+constexpr double pace_samples = 16.0;
+constexpr double min_relative_pace = 0.25;
+constexpr double max_relative_pace = 4.0;
 // Backoff after the first failure of an upstream, and its upper bound after repeated ones. The
 // first is about the length of a typical pause, so that most pauses cost one late call.
 constexpr duration initial_backoff = milliseconds{200};
@@ -69,6 +75,11 @@
     return std::max<double>(calls_, load + own_calls_since_report);
 }
 
+double upstream_observation::relative_pace(time_point now) const
+{
+    return 1.0 + decayed(relative_pace_ - 1.0, now - load_reported_at_, pace_half_life);
+}
+
 void upstream_observation::call_ended(call_result result, call_time time, time_point now)
 {
     --calls_;
@@ -112,6 +123,17 @@
     last_load_report_ = load;
     load_reported_at_ = now;
     calls_at_load_report_ = calls_;
+    relative_pace_ = 1.0;
+    if (load.pace)
+        record_pace(*load.pace);
+}
+
+void upstream_observation::record_pace(double pace)
+{
+    if (average_pace_ <= 0.0)
+        average_pace_ = pace;
+    average_pace_ += (pace - average_pace_) / pace_samples;
+    relative_pace_ = std::clamp(pace / average_pace_, min_relative_pace, max_relative_pace);
 }
 
 void upstream_observation::back_off(time_point now)
--- a/src/libs/upstreams/upstreamobservation.h
+++ b/src/libs/upstreams/upstreamobservation.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 
 namespace ebonywick {
 
@@ -14,6 +15,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    // Present duration of work, in percent of the usual; empty if not reported.
+    std::optional<std::uint32_t> pace = {};
 
     auto operator<=>(const reported_load&) const = default;
 };
@@ -64,6 +67,8 @@
     /// Estimate of the calls that all hosts have in progress: the last report, which approaches
     /// the average load as it ages, and the calls of this host since that report.
     [[nodiscard]] double estimated_load(time_point now) const;
+    /// Ratio of the last reported pace to the average one, decayed towards 1.
+    [[nodiscard]] double relative_pace(time_point now) const;
     /// Until then the upstream is in backoff: it gets calls only if no other can take them.
     [[nodiscard]] time_point backoff_until() const { return backoff_until_; }
     /// In backoff, or after it until a reply to the one call that may be in progress then.
@@ -80,6 +85,7 @@
     // Starts or extends the backoff; it doubles with each failure.
     void back_off(time_point now);
     void record_result(bool failed, time_point now);
+    void record_pace(double pace);
     void record_relative_latency(double relative, time_point now);
 
     std::uint32_t calls_ = 0;
@@ -95,6 +101,10 @@
     std::uint32_t calls_at_load_report_ = 0;
     // Moving average of the reported calls, running and waiting, as of load_reported_at_.
     double average_load_ = 0.0;
+    // Moving average of the reported pace; zero if none was reported.
+    double average_pace_ = 0.0;
+    // Ratio to average_pace_, as of load_reported_at_.
+    double relative_pace_ = 1.0;
     time_point backoff_until_{};
     // Failed and late calls since the last successful reply.
     std::uint32_t consecutive_failures_ = 0;
--- a/tests/auto/platform/tst_httpcodec.cpp
+++ b/tests/auto/platform/tst_httpcodec.cpp
@@ -84,6 +84,14 @@
     const auto invalid = decode_reply(
         reply(200, {{"X-Server-Load", "3,x"}, {"X-Cold-Ms", "-1"}, {"Keep-Alive", "timeout=x"}}));
     cr_assert(!invalid.load && !invalid.cold_remaining && !invalid.idle_timeout);
+    const auto load = [](const std::string& text) {
+        return decode_reply(reply(200, {{"X-Server-Load", text}})).load;
+    };
+    cr_assert((load("3,1,8,250") == reported_load{3, 1, 8, 250}));
+    for (const char* text : {"3,1,8,", "3,1,8,x", "3,1,8,0", "3,1,8,99999999999", "3,1,8,90,1"})
+        cr_assert((load(text) == reported_load{3, 1, 8}), "%s", text);
+    for (const char* text : {"3,1,,90", "3,1", "3,1,x,90", ",,,"})
+        cr_assert(!load(text), "%s", text);
 }
 
 // Failure: a merged answer lacks a stamp or the number of missing parts.
--- a/tests/auto/upstreams/tst_upstreamtable.cpp
+++ b/tests/auto/upstreams/tst_upstreamtable.cpp
@@ -93,6 +93,25 @@
     cr_assert(f.choices() == (std::map<std::string, int>{{"a", 300}}));
 }
 
+// Load: upstreams that share their machines with others. Guards against calls to an upstream that
+// is known to be slow at this moment, and against a report that counts when its pace is long over.
+Test(upstream_table, reported_pace_counts_while_it_is_fresh)
+{
+    table_fixture f;
+    f.add("a");
+    f.add("b");
+    for (int it = 0; it < 20; ++it) {
+        f.table.load_reported(f.at("a"), {0, 0, 4, 200}, f.now);
+        f.table.load_reported(f.at("b"), {0, 0, 4, 100}, f.now);
+    }
+    // The usual pace of each is in the durations that the host observes.
+    cr_assert(f.choices()["a"] > 100);
+    f.table.load_reported(f.at("a"), {0, 0, 4, 600}, f.now);
+    cr_assert(f.choices()["a"] < 50);
+    f.now += 1s;
+    cr_assert(f.choices()["a"] > 100);
+}
+
 // Guards against an upstream that becomes slow and keeps its full share of the calls.
 Test(upstream_table, slow_upstream_gets_fewer_calls)
 {
