fanout: state the customer and the priority of a request in its plan

Admission compared the priority of the route. The plan now carries both; fan_out compares plan.priority. Until keys are known the gateway sets the route's priority, so that nothing is decided differently. The fan-out fixtures set it alike.

--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -204,7 +204,7 @@
     const auto needed = waits.end() - 1 - static_cast<std::ptrdiff_t>(left_out);
     std::nth_element(waits.begin(), needed, waits.end());
     double factor = 1.0;
-    if (plan_.matched_route->priority >
+    if (plan_.priority >
         plan_.routes->strictest_requirements_of(*plan_.matched_route).most_urgent_priority)
         factor *= low_priority_wait_factor;
     if (plan_.refused_before)
--- a/src/libs/fanout/fanout.h
+++ b/src/libs/fanout/fanout.h
@@ -144,6 +144,11 @@
     time_point arrival;
     // The caller's deadline.
     time_point deadline;
+    // Customer on whose behalf the caller asks; empty if the configuration has no customers, or
+    // the route is public.
+    std::string customer;
+    // The customer's priority if it states one, else the route's. 0 is the most urgent.
+    std::uint32_t priority = 0;
     // The caller retries after a refusal. The target latency is measured from this attempt,
     // because the refusal told the caller when to retry.
     bool refused_before = false;
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -102,6 +102,7 @@
         plan.service = pick_weighted_service(*choice);
     plan.arrival = now;
     plan.deadline = now + budget;
+    plan.priority = matched_route->priority;
     plan.refused_before =
         statistics_.update_max_budget(matched_route->name, budget) - budget > min_budget_loss;
     const request_context context{
--- a/tests/auto/fanout/fanoutfixture.h
+++ b/tests/auto/fanout/fanoutfixture.h
@@ -70,6 +70,7 @@
         plan.matched_route = &routes->configuration().routes.front();
         if (shard_count == 0)
             plan.service = service_name{"s0"};
+        plan.priority = plan.matched_route->priority;
         plan.arrival = now;
         plan.deadline = now + 600ms;
         plan.refused_before = refused_before;
--- a/tests/auto/fanout/simulatedfleet.h
+++ b/tests/auto/fanout/simulatedfleet.h
@@ -251,6 +251,7 @@
         fan_out_plan plan;
         plan.routes = routes_;
         plan.matched_route = &matched_route;
+        plan.priority = matched_route.priority;
         plan.arrival = now_;
         plan.deadline = now_ + matched_route.timeout;
         it->decisions = std::make_unique<fan_out>(
