ratelimits: move fleet_share and token_bucket to a library of their own

Quotas of customers divide a rate among hosts as limits of upstreams do. A second mechanism beside the first was ruled out. Both classes and their tests move unchanged to src/libs/ratelimits, which depends on base only; upstreams and peers include them from there. tst_fleetshare passes (3 tests).

--- a/src/libs/peers/peertable.h
+++ b/src/libs/peers/peertable.h
@@ -5,7 +5,7 @@
 #include "base/clock.h"
 #include "peers/hostrecord.h"
 #include "peers/readerturn.h"
-#include "upstreams/fleetshare.h"
+#include "ratelimits/fleetshare.h"
 
 #include <cstddef>
 #include <map>
--- a/src/libs/upstreams/fleetshare.cpp
+++ b/src/libs/ratelimits/fleetshare.cpp
@@ -1,5 +1,5 @@
 // Equal parts, for as many hosts as the limit bears.
-#include "upstreams/fleetshare.h"
+#include "ratelimits/fleetshare.h"
 
 #include "base/hashing.h"
 
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -5,10 +5,10 @@
 #include "base/clock.h"
 #include "base/identifiers.h"
 #include "base/randomsource.h"
+#include "ratelimits/fleetshare.h"
+#include "ratelimits/tokenbucket.h"
 #include "settings/declaration.h"
-#include "upstreams/fleetshare.h"
 #include "upstreams/statedlimit.h"
-#include "upstreams/tokenbucket.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
--- a/tests/auto/upstreams/tst_fleetshare.cpp
+++ b/tests/auto/ratelimits/tst_fleetshare.cpp
@@ -1,6 +1,6 @@
 // Tests of the division of a rate limit among hosts.
-#include "upstreams/fleetshare.h"
-#include "upstreams/tokenbucket.h"
+#include "ratelimits/fleetshare.h"
+#include "ratelimits/tokenbucket.h"
 
 #include <criterion/criterion.h>
 
