--- a/src/libs/routing/routing.h
+++ b/src/libs/routing/routing.h
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -71,6 +72,8 @@
     // Upstreams that may run one request; for a shard set, per shard.
     std::uint32_t attempts = 1;
     route_target target;
+    // Requests need no key, whether or not the configuration has customers.
+    bool is_public = false;
 
     auto operator<=>(const route&) const = default;
 };
@@ -90,6 +93,22 @@
     auto operator<=>(const service_policy&) const = default;
 };
 
+/// A customer on whose behalf callers ask.
+struct customer_policy
+{
+    std::string name;
+    // Goes before the priority of a route; 0 is the most urgent.
+    std::optional<std::uint32_t> priority = {};
+    // Requests per second of all hosts together; 0: no limit.
+    double per_second = 0;
+    // Requests beyond `per_second` that may come at once.
+    double burst = 0;
+    // Callers show one of them. Empty once a key_table has been made of them.
+    std::vector<std::string> keys = {};
+
+    auto operator<=>(const customer_policy&) const = default;
+};
+
 /// Limits on the requests and connections of a caller.
 struct caller_limits
 {
@@ -113,6 +132,9 @@
     std::vector<route> routes;
     std::vector<service_policy> services;
     caller_limits limits;
+    // Routes that are not public need a key.
+    bool has_customers = false;
+    std::vector<customer_policy> customers = {};
 
     auto operator<=>(const routing_configuration&) const = default;
 };
--- a/tests/auto/platform/tst_httpcodec.cpp
+++ b/tests/auto/platform/tst_httpcodec.cpp
@@ -50,6 +50,36 @@
     cr_assert(text.ends_with("\r\n\r\nabc"));
 }
 
+// Failure: a key or a customer that the caller stated itself reaches an upstream, in other case or
+// repeated; or the fields are dropped although the configuration has no customers.
+Test(http_codec, call_carries_the_customer_and_never_the_key)
+{
+    http_message request;
+    request.method = "GET";
+    request.target = "/";
+    request.fields = {{"X-Key", "secret"},   {"x-tenant", "forged"}, {"X-TENANT", ""},
+                      {"x-KEY", "secret-2"}, {"X-Tenants", "kept"},  {"Connection", "X-Tenant"}};
+    const auto named = encode_call(request, upstream_id{"i-1"}, 250ms, "acme");
+    cr_assert(contains(named, "X-Tenant: acme\r\n") && contains(named, "X-Tenants: kept\r\n"));
+    const auto unnamed = encode_call(request, upstream_id{"i-1"}, 250ms, "");
+    cr_assert(!contains(unnamed, "X-Tenant:"));
+    for (const auto& it : {named, unnamed})
+        cr_assert(!contains(it, "secret") && !contains(it, "forged") && !contains(it, "X-TENANT"));
+    request.fields.pop_back();
+    const auto plain = encode_call(request, upstream_id{"i-1"}, 250ms);
+    cr_assert(contains(plain, "X-Key: secret\r\n") && contains(plain, "x-tenant: forged\r\n"));
+}
+
+// Failure: one of several keys is taken, so that hosts and upstreams may see different customers.
+Test(http_codec, repeated_keys_are_no_key)
+{
+    http_message request;
+    request.fields = {{"x-key", "a"}};
+    cr_assert(decode_caller_request_header(request).key == "a");
+    request.fields.emplace_back("X-Key", "a");
+    cr_assert(decode_caller_request_header(request).key.empty());
+}
+
 // Failure: a reply without a stamp, or with an encoded body, is passed on as a success.
 Test(http_codec, success_requires_a_stamp_and_an_unencoded_body)
 {
