gateway: check customers' keys and divide their quotas by demand

A request on a route that is not public gets 401 without a valid key, 503 if its host knows no configuration or, with stale_keys: refuse, cannot confirm it.

--- a/src/libs/gateway/callerrequest.cpp
+++ b/src/libs/gateway/callerrequest.cpp
@@ -82,7 +82,11 @@
         if (left <= duration::zero() || !to->accepts_calls(now))
             return {};
         self->fan_out_.call_sent(number);
-        return platform::encode_call(self->exchange_.request(), to->entry().id, left);
+        const fan_out_plan& of = self->fan_out_.plan();
+        std::optional<std::string_view> customer;
+        if (of.routes->configuration().has_customers)
+            customer = of.customer;
+        return platform::encode_call(self->exchange_.request(), to->entry().id, left, customer);
     };
     plan.ended = [self = caller_request_pointer{this}, number = action.call](call_outcome outcome) {
         self->on_call_ended(number, std::move(outcome));
@@ -148,6 +152,8 @@
         }
         std::string operator()(const not_run_answer& it) const
         {
+            request.context_.quotas.give_back(request.fan_out_.plan().customer,
+                                              request.context_.timers.now());
             request.record_request_end("not_run", status_unavailable, it.reason);
             return platform::encode_answer(
                 platform::error_answer{status_unavailable, it.reason, it.retry_after}, use);
--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -2,6 +2,7 @@
 // upstream pool and sends the result to the caller.
 #pragma once
 
+#include "customers/quotashares.h"
 #include "fanout/fanout.h"
 #include "gateway/httpserver.h"
 #include "gateway/upstreampool.h"
@@ -24,6 +25,7 @@
     fan_out_environment fan_out_resources;
     event_loop_logger& log;
     gateway_metrics& metrics;
+    quota_shares& quotas;
 };
 
 /// Reference-counted: its open calls and the disconnect callback of its exchange keep it
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -79,7 +79,10 @@
               on_reply_reported(from, reply);
           },
           [this](const upstream_pointer& by) { on_leaving_stated(by, "reply"); }),
-      upstream_updater_(upstreams_, timers, log, metrics_),
+      upstream_updater_(upstreams_, timers, log, metrics_), key_secret_{random_.next(),
+                                                                        random_.next()},
+      key_freshness_(key_trust_of(settings)),
+      quotas_(settings.host, quota_bound_of(settings), timers.now()),
       configuration_watch_(loop, timers, settings.store, store_collection::configuration,
                            {.pause = gateway_constants::configuration_pause,
                             .read_freshness = platform::freshness::stale_ok,
@@ -141,6 +144,7 @@
       leave_timer_(timers, [this] { check_leave_progress(); }),
       announcement_timer_(timers, [this] { announce_change(); }),
       follow_timer_(timers, [this] { follow_peers(timers_.now()); }),
+      demand_timer_(timers, [this] { exchange_demand(); }),
       verification_timer_(timers, [this] { verify_collections(); })
 {
 }
@@ -300,6 +304,8 @@
     log_.set_level(static_cast<log_level>(settings.log_level));
     settings_.grace = settings.grace;
     settings_.seeds = settings.seeds;
+    key_freshness_.set_trust(key_trust_of(settings));
+    quotas_.set_bound(quota_bound_of(settings));
     log_.write(log_level::info, "settings_reloaded",
                {{"extra_call_slack", std::to_string(settings.extra_call_slack)},
                 {"grace_ms", std::to_string(to_milliseconds(settings.grace))}});
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -2,6 +2,9 @@
 // watches of the store, all on one event loop.
 #pragma once
 
+#include "customers/keyfreshness.h"
+#include "customers/keytable.h"
+#include "customers/quotashares.h"
 #include "gateway/callerrequest.h"
 #include "gateway/collectionwatch.h"
 #include "gateway/heartbeatlink.h"
@@ -13,6 +16,7 @@
 #include "metrics/gatewaymetrics.h"
 #include "peers/digestqueries.h"
 #include "peers/peertable.h"
+#include "platform/httpcodec.h"
 #include "settings/gatewaysettings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -44,6 +48,24 @@
 
 private:
     void on_caller_request(http_exchange exchange);
+    // Sets the customer and the priority of `plan` by the key of the request. False if it has
+    // refused the request.
+    [[nodiscard]] bool identify_customer(http_exchange& exchange,
+                                         const platform::caller_request_header& header,
+                                         fan_out_plan& plan);
+    // Replaces the keys of a configuration by a table of their digests.
+    [[nodiscard]] key_table take_keys(routing_configuration& from) const;
+    // Notes that this host, or the sender of a message, has no newer keys.
+    void confirm_keys(time_point now);
+    void confirm_keys(const peer_message& by, time_point now);
+    // Takes a token of the quota of the plan's customer. False if it has refused the request.
+    [[nodiscard]] bool within_quota(http_exchange& exchange, const std::string& id,
+                                    const std::string& customer);
+    void share_quotas(sharing_hosts calling, time_point now);
+    // Tells the hosts that divide the quotas with this one of the demand here.
+    void exchange_demand();
+    [[nodiscard]] static quota_bound quota_bound_of(const gateway_settings& settings);
+    [[nodiscard]] static key_trust key_trust_of(const gateway_settings& settings);
     void on_readiness(http_exchange exchange);
     void on_directory(http_exchange exchange);
     void on_metrics(http_exchange exchange);
@@ -71,7 +93,7 @@
     void log_snapshot_read(const endpoint& source, std::string_view outcome,
                            const std::string& adopted);
     void refuse(http_exchange& exchange, int status, std::string_view reason,
-                std::string_view request_id);
+                std::string_view request_id, std::optional<duration> retry_after = {});
     // Takes over what a reply says about the state of its upstream.
     void on_reply_reported(const upstream_pointer& from, const platform::decoded_reply& reply);
     // `source` is "reply" or "host".
@@ -145,6 +167,13 @@
     upstream_table_updater upstream_updater_;
     // Null until a configuration is known.
     route_table_pointer routes_;
+    digest_secret key_secret_;
+    // Keys of the customers of routes_.
+    key_table keys_;
+    key_freshness key_freshness_;
+    quota_shares quotas_;
+    // demand_timer_ is set.
+    bool exchanges_demand_ = false;
     std::set<failure_domain_id> domains_out_;
     collection_watch configuration_watch_;
     collection_watch upstream_watch_;
@@ -202,6 +231,7 @@
     loop_timer leave_timer_;
     loop_timer announcement_timer_;
     loop_timer follow_timer_;
+    loop_timer demand_timer_;
     // Another host has announced a change, which is to be read from it without the usual wait for
     // the store.
     bool change_announced_ = false;
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 void gateway::refuse(http_exchange& exchange, int status, std::string_view reason,
-                     std::string_view request_id)
+                     std::string_view request_id, std::optional<duration> retry_after)
 {
     log_.write(log_level::info, "request_refused",
                {{"id", request_id},
@@ -42,8 +42,7 @@
                 {"reason", reason},
                 {"target", exchange.request().target},
                 {"config", routes_ ? routes_->configuration().version : 0}});
-    std::optional<duration> retry_after;
-    if (status == status_unavailable)
+    if (!retry_after && status == status_unavailable)
         retry_after = new_host_retry_after;
     send_answer(exchange, [&](platform::connection_use use) {
         return platform::encode_answer(platform::error_answer{status, reason, retry_after}, use);
@@ -90,23 +89,27 @@
     }
     const time_point now = exchange.arrival();
     const duration budget = header.time_left.value_or(default_time_budget);
+    fan_out_plan plan;
+    plan.routes = routes_;
+    plan.matched_route = matched_route;
+    plan.priority = matched_route->priority;
+    if (!identify_customer(exchange, header, plan))
+        return;
     if (leaving_since_ != time_point::max() &&
         !can_end_before_leaving(*matched_route, budget, now)) {
         refuse(exchange, status_unavailable, "leaving", header.id);
         return;
     }
-    fan_out_plan plan;
-    plan.routes = routes_;
-    plan.matched_route = matched_route;
+    if (!within_quota(exchange, header.id, plan.customer))
+        return;
     if (const auto* choice = std::get_if<service_choice>(&matched_route->target))
         plan.service = pick_weighted_service(*choice);
     plan.arrival = now;
     plan.deadline = now + budget;
-    plan.priority = matched_route->priority;
     plan.refused_before =
         statistics_.update_max_budget(matched_route->name, budget) - budget > min_budget_loss;
-    const request_context context{
-        timers_, pool_, {upstreams_, budget_, statistics_}, log_, metrics_};
+    const request_context context{timers_, pool_,    {upstreams_, budget_, statistics_},
+                                  log_,    metrics_, quotas_};
     const caller_request_pointer request{
         new caller_request{std::move(exchange), std::move(header.id), std::move(plan), context}};
     requests_.push_back(*request);
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -39,6 +39,7 @@
     // Connections are given back when a host is gone, extra calls of the window are not.
     budget_.set_host_count(std::max(sharing_hosts_, sharing.count()));
     upstreams_.set_sharing_hosts(sharing, now);
+    share_quotas(sharing, now);
     const auto entry_hosts = peers_.entry_hosts(now);
     // A leaving host still serves callers that got its address from the directory.
     const bool leaving = leaving_since_ != time_point::max();
@@ -50,6 +51,7 @@
     heartbeat_link_.send(own_message(), peers_.heartbeat_targets(leaving));
     query_relays(now);
     update_watch_freshness(now);
+    confirm_keys(now);
     follow_peers(now);
     if (is_entry_host_)
         warm_connections();
@@ -125,6 +127,8 @@
     peers_.record_heartbeat(message.heartbeat, now);
     if (message.sent_at != time_point{})
         peers_.record_clock(message.heartbeat.id, message.sent_at, now);
+    confirm_keys(message, now);
+    quotas_.reported(message.heartbeat.id, message.customers, now);
     configuration_watch_.check_store_epoch(message.heartbeat.applied.epoch);
     if (message.announces_change) {
         if (message.heartbeat.applied.is_ahead_of(known())) {
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -108,18 +108,28 @@
         auto& config = std::get<routing_configuration>(decoded);
         const std::uint64_t before = routes_ ? routes_->configuration().version : 0;
         // An operator may give a version that a restored store has lost to other content.
-        if (routes_ && (config.version < before || config == routes_->configuration()))
+        key_table keys = take_keys(config);
+        const bool same = routes_ && config == routes_->configuration() && keys == keys_;
+        if (routes_ && (config.version < before || same))
             continue;
+        if (keys.ambiguous_keys() > 0)
+            log_.write(log_level::warning, "keys_ambiguous",
+                       {{"version", config.version},
+                        {"keys", static_cast<std::uint64_t>(keys.ambiguous_keys())}});
+        keys_ = std::move(keys);
         caller_server_.set_limits(config.limits);
         for (const service_policy& policy : config.services)
             upstreams_.set_cold_rate(policy.name, policy.cold_rate, timers_.now());
         routes_ = std::make_shared<const route_table>(std::move(config));
+        quotas_.set_customers(routes_->configuration().customers, timers_.now());
         log_.write(
             log_level::info, "configuration_applied",
             {{"version", routes_->configuration().version},
              {"before", before},
              {"revision", it.revision},
-             {"routes", static_cast<std::uint64_t>(routes_->configuration().routes.size())}});
+             {"routes", static_cast<std::uint64_t>(routes_->configuration().routes.size())},
+             {"customers", static_cast<std::uint64_t>(routes_->configuration().customers.size())},
+             {"keys", static_cast<std::uint64_t>(keys_.size())}});
         // The other hosts of a large fleet learn of changes from relays that ask each other and are
         // asked once a second, too rarely if their watches have gone silent.
         if (reads_newest_ && !peers_.small_fleet())
--- a/src/libs/peers/hostrecord.cpp
+++ b/src/libs/peers/hostrecord.cpp
@@ -138,6 +138,10 @@
         out.add_leaving_upstream(it);
     out.set_announces_change(message.announces_change);
     out.set_sent_at_ns(static_cast<std::uint64_t>(message.sent_at.time_since_epoch().count()));
+    for (const customer_demand& it : message.customers) {
+        out.add_customer(it.customer);
+        out.add_customer_weight(it.weight);
+    }
     return out.SerializeAsString();
 }
 
@@ -148,7 +152,8 @@
         in.digest_incarnation_size() != in.digest_host_size() ||
         in.digest_state_size() != in.digest_host_size() ||
         in.limit_rate_size() != in.limit_upstream_size() ||
-        in.limit_age_size() != in.limit_upstream_size() || in.sent_at_ns() > max_sent_at)
+        in.limit_age_size() != in.limit_upstream_size() ||
+        in.customer_weight_size() != in.customer_size() || in.sent_at_ns() > max_sent_at)
         return std::nullopt;
     peer_message out;
     out.heartbeat = {host_id{in.host()},
@@ -169,6 +174,8 @@
                               (state & reads_store_bit) != 0});
     }
     out.leaving_upstreams.assign(in.leaving_upstream().begin(), in.leaving_upstream().end());
+    for (int it = 0; it < in.customer_size(); ++it)
+        out.customers.push_back({in.customer(it), in.customer_weight(it)});
     out.announces_change = in.announces_change();
     out.sent_at = time_point{duration{in.sent_at_ns()}};
     for (int it = 0; it < in.limit_upstream_size(); ++it) {
--- a/src/libs/peers/hostrecord.h
+++ b/src/libs/peers/hostrecord.h
@@ -95,6 +95,17 @@
     auto operator<=>(const digest_entry&) const = default;
 };
 
+/// Demand for one customer at the sender of a message.
+struct customer_demand
+{
+    // quota_shares::key_of() the customer.
+    std::uint32_t customer = 0;
+    // Requests that arrived, each weighted by its age, in sixteenths.
+    std::uint32_t weight = 0;
+
+    auto operator<=>(const customer_demand&) const = default;
+};
+
 /// A datagram: always a heartbeat of the sender, and possibly what upstreams have stated, a query
 /// for a digest or the digest that answers one.
 struct peer_message
@@ -115,6 +126,8 @@
     // Steady time of a sender that reads the newest state of the store; the epoch of the clock if
     // it does not.
     time_point sent_at{};
+    // Demand of customers with a quota at the sender.
+    std::vector<customer_demand> customers = {};
 
     auto operator<=>(const peer_message&) const = default;
 };
--- a/src/libs/peers/peertable.cpp
+++ b/src/libs/peers/peertable.cpp
@@ -420,6 +420,16 @@
     return out;
 }
 
+std::vector<endpoint> peer_table::heartbeat_addresses(std::span<const host_id> hosts) const
+{
+    std::vector<endpoint> out;
+    for (const host_id& it : hosts) {
+        if (const auto found = peers_.find(it); found != peers_.end())
+            out.push_back(found->second.record.heartbeats);
+    }
+    return out;
+}
+
 std::vector<host_id> peer_table::ids() const
 {
     std::vector<host_id> out;
--- a/src/libs/peers/peertable.h
+++ b/src/libs/peers/peertable.h
@@ -89,6 +89,8 @@
     /// are told to use, or were told recently. A host that has fallen silent may still send calls,
     /// so it stays among them for a while. To be called at least once in each heartbeat interval.
     [[nodiscard]] sharing_hosts calling_hosts(time_point now);
+    /// Heartbeat addresses of those of `hosts` that are registered, without this one.
+    [[nodiscard]] std::vector<endpoint> heartbeat_addresses(std::span<const host_id> hosts) const;
     /// Ids of all other registered hosts.
     [[nodiscard]] std::vector<host_id> ids() const;
     /// Live hosts that have applied a newer revision than `own` of some collection, those of
--- a/src/libs/ratelimits/tokenbucket.h
+++ b/src/libs/ratelimits/tokenbucket.h
@@ -53,6 +53,12 @@
         tokens_ = std::max(0.0, tokens(now) - 1.0);
         updated_at_ = now;
     }
+    /// Returns a token that was taken and not used; the capacity is kept.
+    void put_back(time_point now)
+    {
+        tokens_ = std::min(capacity_, tokens(now) + 1.0);
+        updated_at_ = now;
+    }
 
     auto operator<=>(const token_bucket&) const = default;
 
--- a/src/libs/settings/gatewaysettings.h
+++ b/src/libs/settings/gatewaysettings.h
@@ -6,10 +6,19 @@
 #include "settings/nodesettings.h"
 
 #include <compare>
+#include <cstdint>
 #include <vector>
 
 namespace ebonywick {
 
+/// What a host does with keys of customers while it may lack a newer configuration.
+enum class stale_key_policy : std::uint8_t {
+    // It uses the keys that it knows.
+    accept,
+    // It refuses requests that need a key.
+    refuse,
+};
+
 struct gateway_settings
 {
     host_id host;
@@ -33,6 +42,15 @@
     double extra_call_ratio = 0.2;
     duration extra_call_window = std::chrono::seconds{10};
     double extra_call_slack = 100;
+    stale_key_policy stale_keys = stale_key_policy::accept;
+    // With stale_key_policy::refuse: time since the store or a host that reads it has last
+    // confirmed the configuration, after which keys are refused.
+    duration key_max_age = std::chrono::seconds{5};
+    // Requests that a customer with a quota may have in the window, all hosts together:
+    // (per_second * quota_window + burst) * (1 + quota_overage) + quota_slack.
+    duration quota_window = std::chrono::seconds{5};
+    double quota_overage = 0.1;
+    double quota_slack = 20;
     log_threshold log_level = log_threshold::info;
 
     auto operator<=>(const gateway_settings&) const = default;
--- a/src/libs/settings/yamlreader.cpp
+++ b/src/libs/settings/yamlreader.cpp
@@ -185,6 +185,11 @@
     out.extra_call_ratio = section.number("extra_call_ratio");
     out.extra_call_window = milliseconds_to_duration(section.number("extra_call_window_s") * 1000);
     out.extra_call_slack = section.number("extra_call_slack");
+    out.stale_keys = static_cast<stale_key_policy>(section.choice("stale_keys"));
+    out.key_max_age = milliseconds_to_duration(section.number("key_max_age_ms"));
+    out.quota_window = milliseconds_to_duration(section.number("quota_window_s") * 1000);
+    out.quota_overage = section.number("quota_overage");
+    out.quota_slack = section.number("quota_slack");
     out.log_level = static_cast<log_threshold>(section.choice("log_level"));
     if (!problems.empty())
         return problems.sorted();
