--- a/src/libs/upstreams/upstream.h
+++ b/src/libs/upstreams/upstream.h
@@ -3,7 +3,7 @@
 
 #include "base/clock.h"
 #include "upstreams/statedlimit.h"
-#include "upstreams/tokenbucket.h"
+#include "ratelimits/tokenbucket.h"
 #include "upstreams/upstreamentry.h"
 #include "upstreams/upstreamobservation.h"
 
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -4,7 +4,7 @@
 #include "base/clock.h"
 #include "base/identifiers.h"
 #include "base/randomsource.h"
-#include "upstreams/fleetshare.h"
+#include "ratelimits/fleetshare.h"
 #include "upstreams/statedlimit.h"
 #include "upstreams/upstream.h"
 #include "upstreams/upstreamchoice.h"
