admission: fair shares between customers when there is too little room

A customer of many requests took the room of those of few: the acceptable wait did not depend on who asks. customer_shares now divides the room of a priority max-min from what this host has offered and admitted recently; fan_out halves the acceptable wait of a customer above its share and raises that of a starved one. Repeated requests do not raise a share. While nothing is refused, and for requests without a customer, the acceptable wait is as before.

Refused callers all got the same retry-after time and came back together. return_spread spreads the times evenly between a sixth and a half of the time left, the most urgent priority in the first half; this holds for requests without a customer too. Queues of customers at the host were ruled out, see docs/design/admission.md.

--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -48,12 +48,27 @@
 // refused before are refused last.
 constexpr double low_priority_wait_factor = 0.85;
 constexpr double refused_before_wait_factor = 2.0;
-// Upper bound of the retry-after time of a refusal for overload.
-constexpr duration max_overload_retry_after = std::chrono::seconds{1};
+// The same by the share of the customer: far enough apart that a customer above its share is
+// refused while the others are not.
+constexpr double above_share_wait_factor = 0.5;
+constexpr double starved_wait_factor = 1.5;
 // Upper bound of the retry-after time of other refusals. Discovery reports a new upstream
 // within a few hundred milliseconds.
 constexpr duration max_retry_after = milliseconds{300};
 
+double wait_factor(customer_share share)
+{
+    switch (share) {
+    case customer_share::starved:
+        return starved_wait_factor;
+    case customer_share::within:
+        return 1.0;
+    case customer_share::above:
+        return above_share_wait_factor;
+    }
+    return 1.0;
+}
+
 } // namespace
 
 std::string_view to_string(call_failure failure)
@@ -152,12 +167,8 @@
         finish(not_run_answer{"deadline_too_short", retry_after(now)}, now, out);
         return;
     }
-    if (overloaded(now)) {
-        const duration left = plan_.deadline - now;
-        finish(not_run_answer{"overloaded", std::min(left / 3, max_overload_retry_after)}, now,
-               out);
+    if (refuse_if_overloaded(now, out))
         return;
-    }
     if (const time_point allowed_at = calls_allowed_at(now); allowed_at > now) {
         const duration wait = std::min(allowed_at - now, max_retry_after);
         finish(not_run_answer{"upstream_limits", std::min(wait, retry_after(now))}, now, out);
@@ -193,7 +204,7 @@
     return *needed;
 }
 
-bool fan_out::overloaded(time_point now) const
+duration fan_out::expected_wait(time_point now) const
 {
     std::vector<duration> waits;
     waits.reserve(targets_.size());
@@ -203,13 +214,43 @@
         static_cast<std::size_t>(ignored_shard_fraction * static_cast<double>(waits.size()));
     const auto needed = waits.end() - 1 - static_cast<std::ptrdiff_t>(left_out);
     std::nth_element(waits.begin(), needed, waits.end());
+    return *needed;
+}
+
+bool fan_out::urgent() const
+{
+    return plan_.priority <=
+           plan_.routes->strictest_requirements_of(*plan_.matched_route).most_urgent_priority;
+}
+
+duration fan_out::acceptable_wait(time_point now) const
+{
     double factor = 1.0;
-    if (plan_.priority >
-        plan_.routes->strictest_requirements_of(*plan_.matched_route).most_urgent_priority)
+    if (!urgent())
         factor *= low_priority_wait_factor;
     if (plan_.refused_before)
         factor *= refused_before_wait_factor;
-    return *needed > std::chrono::duration_cast<duration>(max_wait() * factor);
+    if (!plan_.customer.empty())
+        factor *= wait_factor(shared_.admission.shares.of(plan_.customer, plan_.priority, now));
+    return std::chrono::duration_cast<duration>(max_wait() * factor);
+}
+
+bool fan_out::refuse_if_overloaded(time_point now, std::vector<fan_out_action>& out)
+{
+    customer_shares& shares = shared_.admission.shares;
+    if (!plan_.customer.empty())
+        shares.record_offered(plan_.customer, plan_.priority, now);
+    const duration wait = expected_wait(now);
+    const duration acceptable = acceptable_wait(now);
+    if (wait <= acceptable) {
+        if (!plan_.customer.empty())
+            shares.record_admitted(plan_.customer, plan_.priority, now);
+        return false;
+    }
+    const duration pause =
+        shared_.admission.returns.next(urgent(), wait - acceptable, plan_.deadline - now);
+    finish(not_run_answer{"overloaded", pause}, now, out);
+    return true;
 }
 
 void fan_out::handle(fan_out_event event, time_point now, std::vector<fan_out_action>& out)
--- a/src/libs/fanout/fanout.h
+++ b/src/libs/fanout/fanout.h
@@ -4,6 +4,8 @@
 // handle(), and the caller performs the returned actions.
 #pragma once
 
+#include "admission/customershares.h"
+#include "admission/returnspread.h"
 #include "base/clock.h"
 #include "fanout/callstatistics.h"
 #include "routing/routetable.h"
@@ -154,12 +156,20 @@
     bool refused_before = false;
 };
 
+/// State of admission at a host.
+struct admission_state
+{
+    customer_shares shares;
+    return_spread returns;
+};
+
 /// State shared by all requests of a host; not owned, must outlive each fan_out.
 struct fan_out_environment
 {
     upstream_table& upstreams;
     extra_budget& budget;
     call_statistics& statistics;
+    admission_state& admission;
 };
 
 /// Not thread-safe. Functions that take `out` append actions to it; no action follows
@@ -226,7 +236,14 @@
     // Longest expected wait for a slot at which a request is admitted, before the factors
     // for its priority and for earlier refusals.
     [[nodiscard]] duration max_wait() const;
-    [[nodiscard]] bool overloaded(time_point now) const;
+    // Expected wait for a slot at the shards that the request needs.
+    [[nodiscard]] duration expected_wait(time_point now) const;
+    // Whether the priority is that of the most urgent route or customer of the services.
+    [[nodiscard]] bool urgent() const;
+    // Longest expected wait for a slot at which this request is admitted.
+    [[nodiscard]] duration acceptable_wait(time_point now) const;
+    // Whether the request was refused for overload.
+    [[nodiscard]] bool refuse_if_overloaded(time_point now, std::vector<fan_out_action>& out);
     // When the rate limits of the upstreams allow this host calls to the required shards.
     [[nodiscard]] time_point calls_allowed_at(time_point now) const;
     bool send(std::size_t index, call_reason reason, time_point now,
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -141,6 +141,7 @@
     upstream_table upstreams_;
     extra_budget budget_;
     call_statistics statistics_;
+    admission_state admission_;
     upstream_pool pool_;
     upstream_table_updater upstream_updater_;
     // Null until a configuration is known.
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -106,7 +106,7 @@
     plan.refused_before =
         statistics_.update_max_budget(matched_route->name, budget) - budget > min_budget_loss;
     const request_context context{
-        timers_, pool_, {upstreams_, budget_, statistics_}, log_, metrics_};
+        timers_, pool_, {upstreams_, budget_, statistics_, admission_}, log_, metrics_};
     const caller_request_pointer request{
         new caller_request{std::move(exchange), std::move(header.id), std::move(plan), context}};
     requests_.push_back(*request);
--- a/tests/auto/fanout/fanoutfixture.h
+++ b/tests/auto/fanout/fanoutfixture.h
@@ -74,8 +74,8 @@
         plan.arrival = now;
         plan.deadline = now + 600ms;
         plan.refused_before = refused_before;
-        request =
-            std::make_unique<fan_out>(plan, fan_out_environment{upstreams, budget, statistics});
+        request = std::make_unique<fan_out>(
+            plan, fan_out_environment{upstreams, budget, statistics, admission});
         request->start(now, actions);
         take_actions();
     }
@@ -137,6 +137,7 @@
     upstream_table upstreams{host_id{"h"}, failure_domain_id{"d"}, 3};
     extra_budget budget{{0.2, 10s, 100}};
     call_statistics statistics;
+    admission_state admission;
     std::unique_ptr<fan_out> request;
     std::vector<fan_out_action> actions;
     std::map<call_number, start_call> calls;
--- a/tests/auto/fanout/simulatedfleet.h
+++ b/tests/auto/fanout/simulatedfleet.h
@@ -107,8 +107,19 @@
     }
     [[nodiscard]] time_point now() const { return now_; }
 
+    /// From now on requests come from ten customers, of which c0 sends `part` of all; 0: none.
+    void set_hot_customer(double part) { hot_part_ = part; }
+
     [[nodiscard]] const simulated_result& of(const std::string& route) { return results_[route]; }
-    void reset_results() { results_.clear(); }
+    [[nodiscard]] const simulated_result& of_customer(const std::string& customer)
+    {
+        return customer_results_[customer];
+    }
+    void reset_results()
+    {
+        results_.clear();
+        customer_results_.clear();
+    }
 
 private:
     static constexpr std::size_t shard_count = 10;
@@ -133,6 +144,7 @@
         upstream_table upstreams;
         extra_budget budget{{0.2, 10s, 100}};
         call_statistics statistics;
+        admission_state admission;
     };
 
     struct server_call
@@ -254,12 +266,23 @@
         plan.priority = matched_route.priority;
         plan.arrival = now_;
         plan.deadline = now_ + matched_route.timeout;
+        plan.customer = random_customer();
+        ++customer_results_[plan.customer].total;
         it->decisions = std::make_unique<fan_out>(
-            plan, fan_out_environment{it->at->upstreams, it->at->budget, it->at->statistics});
+            plan, fan_out_environment{it->at->upstreams, it->at->budget, it->at->statistics,
+                                      it->at->admission});
         it->decisions->start(now_, it->actions);
         perform(it);
     }
 
+    std::string random_customer()
+    {
+        if (hot_part_ <= 0.0)
+            return {};
+        std::uniform_real_distribution<double> part;
+        return part(engine_) < hot_part_ ? "c0" : "c" + std::to_string(1 + engine_() % 9);
+    }
+
     void perform(const std::shared_ptr<request>& it)
     {
         const auto actions = std::exchange(it->actions, {});
@@ -295,6 +318,7 @@
                 return;
             }
             ++to.in_time;
+            ++customer_results_[plan.customer].in_time;
             to.coverage += static_cast<double>(answer->stamps.size()) / shard_count;
         } else if (std::holds_alternative<not_run_answer>(outcome)) {
             ++to.refused;
@@ -371,6 +395,8 @@
     std::vector<std::unique_ptr<host>> hosts_;
     std::vector<server> servers_;
     std::map<std::string, simulated_result> results_;
+    std::map<std::string, simulated_result> customer_results_;
+    double hot_part_ = 0.0;
 };
 
 } // namespace ebonywick
--- a/tests/auto/fanout/tst_loadpatterns.cpp
+++ b/tests/auto/fanout/tst_loadpatterns.cpp
@@ -98,3 +98,26 @@
         cr_assert(it.coverage / static_cast<double>(it.in_time) > 0.97);
     }
 }
+
+// Load at 1.4 times the capacity, most of it from one customer. Guards against a customer of many
+// requests that pushes out those of few, whose requests there is room for.
+Test(load_patterns, hot_customer_does_not_push_out_the_others)
+{
+    simulated_fleet fleet{13, 6};
+    fleet.set_hot_customer(0.1);
+    fleet.load(180, 3s);
+    fleet.set_hot_customer(0.85);
+    fleet.load(1000, 2s);
+    fleet.reset_results();
+    fleet.load(1000, 5s);
+    fleet.drain();
+    const auto& hot = fleet.of_customer("c0");
+    cr_log_info("hot %zu of %zu", hot.in_time, hot.total);
+    for (int it = 1; it < 10; ++it) {
+        const auto& other = fleet.of_customer("c" + std::to_string(it));
+        cr_log_info("c%d %zu of %zu", it, other.in_time, other.total);
+        cr_assert(share(other.in_time, other.total) > 0.9);
+    }
+    // The rest of the room is still used.
+    cr_assert(share(hot.in_time, hot.total) > 0.4);
+}
