gateway: roll-outs of upstream versions

A new version that ran beside the old one got half of all requests from its first second, an order never got a status, and a version that failed went on to get requests. A verdict holds by messages before the store has it. Hedges and retries go to the old version. The store stand-in learns conditional writes of a status.

tst_rollouts plays one host on a clock set by hand: a good version is completed within 12 s, with at most 5 percent of the requests and 26 before the switch; one that always fails gets at most 50 requests and none after the verdict while the store refuses all calls, and is written rolled_back when it is back; a host that starts later sends it nothing. tst_fanout, upstreamtable, storecodec, peertable, yamlreader, gateway, restoredstore, newhost, leavingupstream, statedlimits, loadpatterns and collectionwatch pass.

--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -1,6 +1,7 @@
 // Admission, hedging, retries and completion of a fanned-out request.
 #include "fanout/fanout.h"
 
+#include "base/hashing.h"
 #include "routing/recordmerge.h"
 
 #include <algorithm>
@@ -48,6 +49,8 @@
 // refused before are refused last.
 constexpr double low_priority_wait_factor = 0.85;
 constexpr double refused_before_wait_factor = 2.0;
+// An answer that takes longer than this multiple of the median is slow, when versions are compared.
+constexpr double slow_answer_factor = 2.5;
 // Upper bound of the retry-after time of a refusal for overload.
 constexpr duration max_overload_retry_after = std::chrono::seconds{1};
 // Upper bound of the retry-after time of other refusals. Discovery reports a new upstream
@@ -120,14 +123,30 @@
     return now - it.sent >= late_call_factor * usual;
 }
 
+upstream_pointer fan_out::choose_upstream(const call_target& of, call_reason reason, time_point now)
+{
+    rollout_table* const rollouts = shared_.rollouts;
+    // A hedge or a retry of a trial must not be answered by the version on trial.
+    if (rollouts != nullptr && reason == call_reason::first && rollouts->may_try(of.service, now)) {
+        if (auto to = shared_.upstreams.choose(of.service, of.tried, now, version_choice::trial))
+            return to;
+    }
+    upstream_pointer out = shared_.upstreams.choose(of.service, of.tried, now);
+    if (!out && rollouts != nullptr && rollouts->may_fall_back(of.service, now))
+        out = shared_.upstreams.choose(of.service, of.tried, now, version_choice::trial);
+    return out;
+}
+
 bool fan_out::send(std::size_t index, call_reason reason, time_point now,
                    std::vector<fan_out_action>& out)
 {
     call_target& it = targets_[index];
-    const upstream_pointer to = shared_.upstreams.choose(it.service, it.tried, now);
+    const upstream_pointer to = choose_upstream(it, reason, now);
     if (!to)
         return false;
     shared_.upstreams.call_started(*to, now);
+    if (shared_.rollouts != nullptr)
+        shared_.rollouts->call_started(it.service, to->entry().version);
     it.tried.push_back(to);
     ++it.attempts;
     ++it.open_calls;
@@ -165,6 +184,8 @@
     }
     for (std::size_t it = 0; it < targets_.size(); ++it) {
         shared_.budget.record_request(targets_[it].service, now);
+        if (shared_.rollouts != nullptr)
+            shared_.rollouts->request_started(targets_[it].service);
         if (!send(it, call_reason::first, now, out)) {
             targets_[it].failed = true;
             ++failed_targets_;
@@ -226,9 +247,42 @@
     it.open = false;
     --targets_[it.target].open_calls;
     const duration took = now - it.sent;
+    record_answer(it, result, took, now);
     shared_.upstreams.call_ended(*it.to, result, {took, times_.relative_to_median(took)}, now);
 }
 
+void fan_out::record_answer(const call& it, call_result result, duration took, time_point now)
+{
+    if (shared_.rollouts == nullptr)
+        return;
+    const bool slow =
+        took > std::chrono::duration_cast<duration>(times_.median() * slow_answer_factor);
+    const bool timed = times_.median() > duration::zero() && it.to->warm(now);
+    version_answer answer;
+    answer.route = static_cast<std::uint32_t>(stable_hash(plan_.matched_route->name));
+    switch (result) {
+    case call_result::replied:
+        break;
+    case call_result::failed:
+    case call_result::lost:
+        answer.failed = true;
+        answer.lost = result == call_result::lost;
+        break;
+    case call_result::cancelled:
+        // The time is a lower bound.
+        if (!timed || !slow)
+            return;
+        break;
+    case call_result::shed:
+    case call_result::unreachable:
+        return;
+    }
+    if (timed && !answer.failed)
+        answer.slow = slow;
+    const upstream_entry& entry = it.to->entry();
+    shared_.rollouts->answered(entry.id, entry.service, entry.version, answer, now);
+}
+
 void fan_out::on(call_replied& event, time_point now, std::vector<fan_out_action>& out)
 {
     call& it = calls_[event.call];
--- a/src/libs/fanout/fanout.h
+++ b/src/libs/fanout/fanout.h
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "fanout/callstatistics.h"
+#include "rollout/rollouttable.h"
 #include "routing/routetable.h"
 #include "upstreams/extrabudget.h"
 #include "upstreams/upstreamtable.h"
@@ -155,6 +156,8 @@
     upstream_table& upstreams;
     extra_budget& budget;
     call_statistics& statistics;
+    // Null: there are no roll-outs.
+    rollout_table* rollouts = nullptr;
 };
 
 /// Not thread-safe. Functions that take `out` append actions to it; no action follows
@@ -226,7 +229,12 @@
     [[nodiscard]] time_point calls_allowed_at(time_point now) const;
     bool send(std::size_t index, call_reason reason, time_point now,
               std::vector<fan_out_action>& out);
+    // Null if no upstream can take a call.
+    [[nodiscard]] upstream_pointer choose_upstream(const call_target& of, call_reason reason,
+                                                   time_point now);
     void end_call(call& it, call_result result, time_point now);
+    // Takes a call into the comparison of the versions of its service.
+    void record_answer(const call& it, call_result result, duration took, time_point now);
     void on(call_replied& event, time_point now, std::vector<fan_out_action>& out);
     void on(upstream_call_failed& event, time_point now, std::vector<fan_out_action>& out);
     void on(timer_fired& event, time_point now, std::vector<fan_out_action>& out);
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -73,6 +73,7 @@
       peers_(make_host_record(settings, incarnation_)),
       queries_(make_host_record(settings, incarnation_)),
       upstreams_(settings.host, settings.domain, random_.next()), budget_(budget_limits(settings)),
+      rollouts_({settings.exposure_share, settings.exposure_slack, settings.rollback}),
       pool_(
           loop, timers, [this](const upstream& to) { return connection_limit(to); },
           [this](const upstream_pointer& from, const platform::decoded_reply& reply) {
@@ -107,6 +108,16 @@
                   handlers_for([this](const auto& items, bool is_full_list) {
                       on_hosts(items, is_full_list);
                   })),
+      rollout_watch_(loop, timers, settings.store, store_collection::rollouts,
+                     {.pause = gateway_constants::configuration_pause,
+                      .read_freshness = platform::freshness::stale_ok,
+                      .missing_retention = gateway_constants::restored_state_wait,
+                      .outdated_retention = gateway_constants::restored_state_wait},
+                     handlers_for([this](const auto& items, bool is_full_list) {
+                         on_rollouts(items, is_full_list);
+                     })),
+      rollout_channel_(loop, timers, settings.store),
+      rollout_timer_(timers, [this] { on_rollout_timer(); }),
       registration_(loop, timers, settings.store, make_host_record(settings, incarnation_),
                     [this] { log_.write(log_level::info, "host_registered", {}); }),
       heartbeat_link_(
@@ -215,6 +226,7 @@
             upstream_updater_.on_listed(items);
         else
             upstream_updater_.on_changed(items);
+        note_versions(items);
     });
     out.settled = [this](store_collection collection, const auto& items) {
         on_settled(collection, items);
@@ -307,7 +319,8 @@
 
 bool gateway::knows_state() const
 {
-    return routes_ && upstream_watch_.complete() && domain_watch_.complete();
+    return routes_ && upstream_watch_.complete() && domain_watch_.complete() &&
+           (!rollouts_.enabled() || rollout_watch_.complete());
 }
 
 bool gateway::ready() const
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "metrics/gatewaymetrics.h"
 #include "peers/digestqueries.h"
 #include "peers/peertable.h"
+#include "rollout/rollouttable.h"
 #include "settings/gatewaysettings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -82,6 +83,28 @@
                          time_point stated_at, std::string_view source);
     void on_configuration(const std::vector<platform::stored_item>& items);
     void on_removed_domains(const std::vector<platform::stored_item>& items, bool is_full_list);
+    void on_rollouts(const std::vector<platform::stored_item>& items, bool is_full_list);
+    // False if the order cannot be read.
+    bool read_order(const platform::stored_item& item);
+    // Notes the versions of upstreams whose entries have changed.
+    void note_versions(const std::vector<platform::stored_item>& items);
+    [[nodiscard]] rollout_surroundings surroundings_of(const rollout& it, time_point now);
+    // Judges the counts, applies the stages of all roll-outs to the upstreams, and writes the
+    // status that is due.
+    void advance_rollouts();
+    // Logs a new stage; false if it is the same as before.
+    bool note_stage(const rollout& it, time_point now);
+    void on_rollout_timer();
+    // Sends the counts of this host to the other hosts that call upstreams.
+    void send_rollout_reports(time_point now);
+    void on_rollout_reports(const peer_message& message, time_point now);
+    // How long this host leaves the write of a status to the hosts before it.
+    [[nodiscard]] duration rollout_write_delay(time_point now);
+    void write_rollout_status(time_point now);
+    void send_rollout_status(const rollout_order& order, rollout_stage stage);
+    void adopt_written_order(const std::string& body);
+    // All collections that this host reads.
+    [[nodiscard]] std::vector<collection_watch*> watches();
     void on_hosts(const std::vector<platform::stored_item>& items, bool is_full_list);
     [[nodiscard]] collection_watch& watch_of(platform::store_collection collection);
     void on_store_contact_changed(platform::store_collection collection, std::string_view reason);
@@ -141,6 +164,7 @@
     upstream_table upstreams_;
     extra_budget budget_;
     call_statistics statistics_;
+    rollout_table rollouts_;
     upstream_pool pool_;
     upstream_table_updater upstream_updater_;
     // Null until a configuration is known.
@@ -150,6 +174,16 @@
     collection_watch upstream_watch_;
     collection_watch domain_watch_;
     collection_watch host_watch_;
+    // Not started unless roll-outs are served.
+    collection_watch rollout_watch_;
+    http_channel rollout_channel_;
+    loop_timer rollout_timer_;
+    time_point next_status_write_{};
+    // Since when a write of a status has been due, with the order and the stage.
+    std::map<service_name, std::pair<std::pair<std::uint64_t, rollout_stage>, time_point>>
+        write_due_since_;
+    // Order and stage that were logged last.
+    std::map<service_name, std::pair<std::uint64_t, rollout_stage>> noted_stages_;
     host_registration registration_;
     heartbeat_link heartbeat_link_;
     http_server caller_server_;
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -104,8 +104,9 @@
     plan.deadline = now + budget;
     plan.refused_before =
         statistics_.update_max_budget(matched_route->name, budget) - budget > min_budget_loss;
+    rollout_table* const rollouts = rollouts_.enabled() ? &rollouts_ : nullptr;
     const request_context context{
-        timers_, pool_, {upstreams_, budget_, statistics_}, log_, metrics_};
+        timers_, pool_, {upstreams_, budget_, statistics_, rollouts}, log_, metrics_};
     const caller_request_pointer request{
         new caller_request{std::move(exchange), std::move(header.id), std::move(plan), context}};
     requests_.push_back(*request);
@@ -143,6 +144,9 @@
          {platform::store_collection::configuration, platform::store_collection::upstreams,
           platform::store_collection::removed_domains, platform::store_collection::hosts})
         ages.emplace_back(to_string(it), watch_of(it).reply_age());
+    if (rollouts_.enabled())
+        ages.emplace_back(to_string(platform::store_collection::rollouts),
+                          rollout_watch_.reply_age());
     const auto body = metrics_.exposition(
         {.config_version = routes_ ? routes_->configuration().version : 0,
          .upstreams = upstreams_.size(),
@@ -180,7 +184,8 @@
             {configuration_watch_.copy().since(epoch, known.configuration),
              upstream_watch_.copy().since(epoch, known.upstreams),
              domain_watch_.copy().since(epoch, known.domains),
-             host_watch_.copy().since(epoch, known.hosts)},
+             host_watch_.copy().since(epoch, known.hosts),
+             rollout_watch_.copy().since(epoch, known.rollouts)},
             use);
     });
 }
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -39,6 +39,9 @@
     // Connections are given back when a host is gone, extra calls of the window are not.
     budget_.set_host_count(std::max(sharing_hosts_, sharing.count()));
     upstreams_.set_sharing_hosts(sharing, now);
+    const bool calls = std::find(sharing.known.begin(), sharing.known.end(), settings_.host) !=
+                       sharing.known.end();
+    rollouts_.set_sharing_hosts(calls ? sharing.count() : 0);
     const auto entry_hosts = peers_.entry_hosts(now);
     // A leaving host still serves callers that got its address from the directory.
     const bool leaving = leaving_since_ != time_point::max();
@@ -65,7 +68,8 @@
     const bool leaving = leaving_since_ != time_point::max();
     const bool retains =
         configuration_watch_.copy().retained_count() + upstream_watch_.copy().retained_count() +
-            domain_watch_.copy().retained_count() + host_watch_.copy().retained_count() !=
+            domain_watch_.copy().retained_count() + host_watch_.copy().retained_count() +
+            rollout_watch_.copy().retained_count() !=
         0;
     return {settings_.host, incarnation_, ready(),       leaving,
             strained_,      applied(),    reads_store(), retains};
@@ -134,6 +138,7 @@
             pass_on_announcement();
         }
     }
+    on_rollout_reports(message, now);
     for (const limit_report& it : message.limits) {
         if (const upstream_pointer of = upstreams_.find_reported(it.upstream))
             on_limit_stated(of, it.limit, now - it.age, "host");
@@ -163,15 +168,19 @@
 gateway::revisions(const std::function<std::uint64_t(const collection_copy&)>& revision_of) const
 {
     const std::array copies{&configuration_watch_.copy(), &upstream_watch_.copy(),
-                            &domain_watch_.copy(), &host_watch_.copy()};
+                            &domain_watch_.copy(), &host_watch_.copy(), &rollout_watch_.copy()};
     std::uint64_t epoch = 0;
     for (const collection_copy* it : copies)
         epoch = std::max(epoch, it->epoch());
     const auto in_epoch = [&](const collection_copy& it) {
         return it.epoch() == epoch ? revision_of(it) : 0;
     };
-    return {in_epoch(*copies[0]), in_epoch(*copies[1]), in_epoch(*copies[2]), in_epoch(*copies[3]),
-            epoch};
+    return {in_epoch(*copies[0]),
+            in_epoch(*copies[1]),
+            in_epoch(*copies[2]),
+            in_epoch(*copies[3]),
+            epoch,
+            in_epoch(*copies[4])};
 }
 
 applied_revisions gateway::applied() const
@@ -214,8 +223,7 @@
         log_.write(log_level::info, "state_source", {{"source", follows ? "relays" : "store"}});
     follows_ = follows;
     const auto source = follows ? change_source::other_hosts : change_source::store;
-    for (collection_watch* it :
-         {&configuration_watch_, &upstream_watch_, &domain_watch_, &host_watch_}) {
+    for (collection_watch* it : watches()) {
         it->set_other_readers(other_readers);
         it->set_source(source);
         it->set_position(position.value_or(reader_position{}));
@@ -229,6 +237,8 @@
     configuration_watch_.catch_up(epoch, newest_peer_changes_.configuration);
     upstream_watch_.catch_up(epoch, newest_peer_changes_.upstreams);
     domain_watch_.catch_up(epoch, newest_peer_changes_.domains);
+    if (rollouts_.enabled())
+        rollout_watch_.catch_up(epoch, newest_peer_changes_.rollouts);
     if (configuration_watch_.list_missing_change(epoch, newest_peer_changes_.configuration))
         log_.write(log_level::warning, "change_missing",
                    {{"collection", to_string(platform::store_collection::configuration)},
@@ -275,6 +285,8 @@
     configuration_watch_.start();
     upstream_watch_.start();
     domain_watch_.start();
+    if (rollouts_.enabled())
+        rollout_watch_.start();
 }
 
 void gateway::read_retained(time_point now)
@@ -387,6 +399,7 @@
         adopt(configuration_watch_, snapshot->configuration, "configuration");
         adopt(upstream_watch_, snapshot->upstreams, "upstreams");
         adopt(domain_watch_, snapshot->domains, "domains");
+        adopt(rollout_watch_, snapshot->rollouts, "rollouts");
         adopt(host_watch_, snapshot->hosts, "hosts");
     } else {
         failed_snapshot_source_ = source;
--- a/src/libs/gateway/gatewaystore.cpp
+++ b/src/libs/gateway/gatewaystore.cpp
@@ -20,12 +20,23 @@
         return upstream_watch_;
     case store_collection::removed_domains:
         return domain_watch_;
+    case store_collection::rollouts:
+        return rollout_watch_;
     case store_collection::hosts:
         break;
     }
     return host_watch_;
 }
 
+std::vector<collection_watch*> gateway::watches()
+{
+    std::vector<collection_watch*> out{&configuration_watch_, &upstream_watch_, &domain_watch_,
+                                       &host_watch_};
+    if (rollouts_.enabled())
+        out.push_back(&rollout_watch_);
+    return out;
+}
+
 void gateway::on_store_contact_changed(store_collection collection, std::string_view reason)
 {
     if (reason.empty()) {
@@ -38,8 +49,7 @@
                 {"waited_ms", whole_milliseconds(watch_of(collection).call_age())}});
     if (reason != no_reply_reason)
         return;
-    for (collection_watch* it :
-         {&configuration_watch_, &upstream_watch_, &domain_watch_, &host_watch_}) {
+    for (collection_watch* it : watches()) {
         if (it != &watch_of(collection))
             it->check_connection();
     }
@@ -47,8 +57,10 @@
 
 void gateway::verify_collections()
 {
-    for (collection_watch* it : {&upstream_watch_, &domain_watch_, &host_watch_})
-        it->verify(renewed_revision_, known_changes_);
+    for (collection_watch* it : watches()) {
+        if (it != &configuration_watch_)
+            it->verify(renewed_revision_, known_changes_);
+    }
 }
 
 void gateway::on_store_epoch(store_collection collection, std::uint64_t epoch)
@@ -58,8 +70,7 @@
         return;
     known_changes_.clear();
     verification_timer_.cancel();
-    for (collection_watch* it :
-         {&configuration_watch_, &upstream_watch_, &domain_watch_, &host_watch_})
+    for (collection_watch* it : watches())
         it->set_store_epoch(epoch);
     if (before == 0)
         return;
--- a/src/libs/gateway/heartbeatlink.h
+++ b/src/libs/gateway/heartbeatlink.h
@@ -32,7 +32,7 @@
     std::function<void(const peer_message&, const endpoint& from)> on_message_;
     // Receive buffer; longer datagrams are truncated. A digest of 32 relays has about 500 bytes,
     // 64 limits of upstreams about 1000.
-    std::array<char, 4096> input_{};
+    std::array<char, 8192> input_{};
     boost::asio::ip::udp::endpoint sender_;
 };
 
--- a/src/libs/gateway/storesnapshot.cpp
+++ b/src/libs/gateway/storesnapshot.cpp
@@ -19,6 +19,7 @@
 constexpr std::string_view upstreams_key = "upstreams";
 constexpr std::string_view domains_key = "domains";
 constexpr std::string_view hosts_key = "hosts";
+constexpr std::string_view rollouts_key = "rollouts";
 constexpr std::string_view epoch_key = "epoch";
 
 json encode_item(const platform::stored_item& it)
@@ -100,10 +101,10 @@
 
 std::string encode_snapshot_request(const endpoint& host, const applied_revisions& known)
 {
-    return fmt::format("GET {}?{}={}&{}={}&{}={}&{}={}&{}={} HTTP/1.1\r\nHost: {}\r\n\r\n",
+    return fmt::format("GET {}?{}={}&{}={}&{}={}&{}={}&{}={}&{}={} HTTP/1.1\r\nHost: {}\r\n\r\n",
                        snapshot_path, configuration_key, known.configuration, upstreams_key,
                        known.upstreams, domains_key, known.domains, hosts_key, known.hosts,
-                       epoch_key, known.epoch, to_string(host));
+                       epoch_key, known.epoch, rollouts_key, known.rollouts, to_string(host));
 }
 
 bool is_snapshot_target(std::string_view target)
@@ -114,8 +115,8 @@
 applied_revisions decode_snapshot_target(std::string_view target)
 {
     return {query_number(target, configuration_key), query_number(target, upstreams_key),
-            query_number(target, domains_key), query_number(target, hosts_key),
-            query_number(target, epoch_key)};
+            query_number(target, domains_key),       query_number(target, hosts_key),
+            query_number(target, epoch_key),         query_number(target, rollouts_key)};
 }
 
 std::string encode_snapshot_answer(const store_snapshot& snapshot, platform::connection_use use)
@@ -125,6 +126,7 @@
     encode(document, upstreams_key, snapshot.upstreams);
     encode(document, domains_key, snapshot.domains);
     encode(document, hosts_key, snapshot.hosts);
+    encode(document, rollouts_key, snapshot.rollouts);
     const std::string body = document.dump(-1, ' ', false, json::error_handler_t::replace);
     std::string out = "HTTP/1.1 200 OK\r\n";
     append_field(out, "Content-Type", "application/json");
@@ -141,7 +143,8 @@
         if (!document.is_object())
             return std::nullopt;
         return store_snapshot{decode(document, configuration_key), decode(document, upstreams_key),
-                              decode(document, domains_key), decode(document, hosts_key)};
+                              decode(document, domains_key), decode(document, hosts_key),
+                              decode(document, rollouts_key)};
     } catch (const json::exception&) {
         return std::nullopt;
     }
--- a/src/libs/gateway/storesnapshot.h
+++ b/src/libs/gateway/storesnapshot.h
@@ -23,6 +23,7 @@
     std::optional<collection_update> upstreams;
     std::optional<collection_update> domains;
     std::optional<collection_update> hosts;
+    std::optional<collection_update> rollouts = {};
 
     auto operator<=>(const store_snapshot&) const = default;
 };
--- a/src/libs/gateway/writeorder.cpp
+++ b/src/libs/gateway/writeorder.cpp
@@ -22,6 +22,7 @@
             return write_order{record->incarnation, 0};
         return std::nullopt;
     case platform::store_collection::removed_domains:
+    case platform::store_collection::rollouts:
         return std::nullopt;
     }
     return std::nullopt;
--- a/src/libs/peers/hostrecord.cpp
+++ b/src/libs/peers/hostrecord.cpp
@@ -45,6 +45,59 @@
            (it.reads_store ? reads_store_bit : 0);
 }
 
+// Fields of RolloutReport.counts for each route.
+constexpr int counts_per_route = 8;
+
+void encode_counts(const answer_counts& it, wire::RolloutReport& into)
+{
+    into.add_counts(it.answers);
+    into.add_counts(it.failed);
+    into.add_counts(it.timed);
+    into.add_counts(it.slow);
+}
+
+void encode_rollout(const rollout_report& it, wire::RolloutReport& into)
+{
+    into.set_order(it.order);
+    into.set_stage(static_cast<std::uint32_t>(it.stage));
+    into.set_age_ms(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(it.age).count()));
+    into.set_clear(it.clear);
+    into.set_requests(it.requests);
+    into.set_target_calls(it.target_calls);
+    for (const route_answers& each : it.routes) {
+        into.add_route(each.route);
+        encode_counts(each.target, into);
+        encode_counts(each.others, into);
+    }
+}
+
+answer_counts decode_counts(const wire::RolloutReport& in, int at)
+{
+    return {in.counts(at), in.counts(at + 1), in.counts(at + 2), in.counts(at + 3)};
+}
+
+std::optional<rollout_report> decode_rollout(const wire::RolloutReport& in)
+{
+    constexpr std::uint64_t max_age = 30ULL * 86'400'000;
+    if (in.stage() > static_cast<std::uint32_t>(rollout_stage::rolled_back) ||
+        in.counts_size() != in.route_size() * counts_per_route || in.age_ms() > max_age)
+        return std::nullopt;
+    rollout_report out;
+    out.order = in.order();
+    out.stage = static_cast<rollout_stage>(in.stage());
+    out.age = std::chrono::milliseconds{in.age_ms()};
+    out.clear = in.clear();
+    out.requests = in.requests();
+    out.target_calls = in.target_calls();
+    for (int it = 0; it < in.route_size(); ++it) {
+        const int at = it * counts_per_route;
+        out.routes.push_back(
+            {in.route(it), decode_counts(in, at), decode_counts(in, at + counts_per_route / 2)});
+    }
+    return out;
+}
+
 } // namespace
 
 bool applied_revisions::is_ahead_of(const applied_revisions& other) const
@@ -52,7 +105,7 @@
     if (epoch != other.epoch)
         return epoch > other.epoch;
     return configuration > other.configuration || upstreams > other.upstreams ||
-           domains > other.domains || hosts > other.hosts;
+           domains > other.domains || hosts > other.hosts || rollouts > other.rollouts;
 }
 
 void applied_revisions::merge(const applied_revisions& other)
@@ -67,6 +120,7 @@
     upstreams = std::max(upstreams, other.upstreams);
     domains = std::max(domains, other.domains);
     hosts = std::max(hosts, other.hosts);
+    rollouts = std::max(rollouts, other.rollouts);
 }
 
 std::string encode_host_record(const host_record& record)
@@ -119,6 +173,7 @@
     out.set_domains(heartbeat.applied.domains);
     out.set_hosts(heartbeat.applied.hosts);
     out.set_store_epoch(heartbeat.applied.epoch);
+    out.set_rollouts(heartbeat.applied.rollouts);
     out.set_reads_store(heartbeat.reads_store);
     out.set_retains(heartbeat.retains);
     out.set_query(message.query);
@@ -138,6 +193,8 @@
         out.add_leaving_upstream(it);
     out.set_announces_change(message.announces_change);
     out.set_sent_at_ns(static_cast<std::uint64_t>(message.sent_at.time_since_epoch().count()));
+    for (const rollout_report& it : message.rollouts)
+        encode_rollout(it, *out.add_rollout_reports());
     return out.SerializeAsString();
 }
 
@@ -151,14 +208,15 @@
         in.limit_age_size() != in.limit_upstream_size() || in.sent_at_ns() > max_sent_at)
         return std::nullopt;
     peer_message out;
-    out.heartbeat = {host_id{in.host()},
-                     in.incarnation(),
-                     in.ready(),
-                     in.leaving(),
-                     in.strained(),
-                     {in.config(), in.upstreams(), in.domains(), in.hosts(), in.store_epoch()},
-                     in.reads_store(),
-                     in.retains()};
+    out.heartbeat = {
+        host_id{in.host()},
+        in.incarnation(),
+        in.ready(),
+        in.leaving(),
+        in.strained(),
+        {in.config(), in.upstreams(), in.domains(), in.hosts(), in.store_epoch(), in.rollouts()},
+        in.reads_store(),
+        in.retains()};
     out.query = in.query();
     out.answered_query = in.answered_query();
     for (int it = 0; it < in.digest_host_size(); ++it) {
@@ -171,6 +229,12 @@
     out.leaving_upstreams.assign(in.leaving_upstream().begin(), in.leaving_upstream().end());
     out.announces_change = in.announces_change();
     out.sent_at = time_point{duration{in.sent_at_ns()}};
+    for (const wire::RolloutReport& it : in.rollout_reports()) {
+        auto report = decode_rollout(it);
+        if (!report)
+            return std::nullopt;
+        out.rollouts.push_back(*std::move(report));
+    }
     for (int it = 0; it < in.limit_upstream_size(); ++it) {
         const double rate = in.limit_rate(it);
         if (!std::isfinite(rate))
--- a/src/libs/peers/hostrecord.h
+++ b/src/libs/peers/hostrecord.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/identifiers.h"
+#include "rollout/rolloutreport.h"
 #include "settings/declaration.h"
 #include "upstreams/statedlimit.h"
 
@@ -51,6 +52,7 @@
     // Epoch of the store to which the revisions belong; it rises when the store is restored from an
     // older copy.
     std::uint64_t epoch = 0;
+    std::uint64_t rollouts = 0;
 
     /// True if some revision is newer than the one in `other`.
     [[nodiscard]] bool is_ahead_of(const applied_revisions& other) const;
@@ -115,6 +117,8 @@
     // Steady time of a sender that reads the newest state of the store; the epoch of the clock if
     // it does not.
     time_point sent_at{};
+    // Counts and verdicts of open roll-outs; some of them, in turn.
+    std::vector<rollout_report> rollouts = {};
 
     auto operator<=>(const peer_message&) const = default;
 };
--- a/src/libs/settings/gatewaysettings.h
+++ b/src/libs/settings/gatewaysettings.h
@@ -33,6 +33,12 @@
     double extra_call_ratio = 0.2;
     duration extra_call_window = std::chrono::seconds{10};
     double extra_call_slack = 100;
+    // Part of a service's requests that an unproven version may get in a roll-out, and calls in
+    // addition, of all hosts together. Without a share, roll-outs are not served.
+    double exposure_share = 0;
+    double exposure_slack = 50;
+    // Time from the first sign of a bad version until it gets no further calls.
+    duration rollback = std::chrono::seconds{5};
     log_threshold log_level = log_threshold::info;
 
     auto operator<=>(const gateway_settings&) const = default;
--- a/src/libs/settings/yamlreader.cpp
+++ b/src/libs/settings/yamlreader.cpp
@@ -185,6 +185,9 @@
     out.extra_call_ratio = section.number("extra_call_ratio");
     out.extra_call_window = milliseconds_to_duration(section.number("extra_call_window_s") * 1000);
     out.extra_call_slack = section.number("extra_call_slack");
+    out.exposure_share = section.number("exposure_share");
+    out.exposure_slack = section.number("exposure_slack");
+    out.rollback = milliseconds_to_duration(section.number("rollback_ms"));
     out.log_level = static_cast<log_threshold>(section.choice("log_level"));
     if (!problems.empty())
         return problems.sorted();
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -109,6 +109,7 @@
         if (same_lifetime(old, entry)) {
             found->second->entry_ = entry;
             found->second->lapsing_ = false;
+            apply_version_rule(*found->second);
             if (entry.cold_remaining > duration::zero())
                 cold_reported(*found->second, entry.cold_remaining, now);
             return;
@@ -117,6 +118,8 @@
     }
     const upstream_pointer it{new upstream{entry}};
     it->domain_out_ = domains_out_.contains(entry.domain);
+    it->listed_since_ = now;
+    apply_version_rule(*it);
     it->cold_until_ = now + entry.cold_remaining;
     divide_cold_rate(*it, now);
     // A random initial level, so that the hosts do not all send their first call at once.
@@ -186,6 +189,24 @@
         it->domain_out_ = domains_out_.contains(it->entry_.domain);
 }
 
+void upstream_table::set_version_rule(const service_name& service, const version_rule& rule)
+{
+    if (rule == version_rule{})
+        version_rules_.erase(service);
+    else
+        version_rules_[service] = rule;
+    for (const upstream_pointer& it : of_service(service))
+        apply_version_rule(*it);
+}
+
+void upstream_table::apply_version_rule(upstream& it) const
+{
+    const auto rule = version_rules_.find(it.entry_.service);
+    const bool ruled = rule != version_rules_.end();
+    it.version_out_ = ruled && rule->second.excludes(it.entry_.version);
+    it.on_trial_ = ruled && rule->second.is_trial(it.entry_.version);
+}
+
 void upstream_table::set_cold_rate(const service_name& service, double calls_per_second,
                                    time_point now)
 {
@@ -284,7 +305,8 @@
         return duration::zero();
     double least = std::numeric_limits<double>::max();
     for (const upstream_pointer& it : found->second.upstreams) {
-        if (!it->usable() || it->backoff_until_ > now || !may_call(*it, now) || reserved(*it, now))
+        if (!it->usable() || it->on_trial_ || it->backoff_until_ > now || !may_call(*it, now) ||
+            reserved(*it, now))
             continue;
         const double slots = std::max<std::uint32_t>(1, it->entry_.slots);
         const double rounds = std::max(0.0, estimated_load(*it, now) + 1.0 - slots) / slots;
@@ -301,7 +323,7 @@
 {
     const auto all = of_service(service);
     return std::any_of(all.begin(), all.end(), [&](const upstream_pointer& it) {
-        return it->usable() && it->backoff_until_ <= now && may_call(*it, now) &&
+        return it->usable() && !it->on_trial_ && it->backoff_until_ <= now && may_call(*it, now) &&
                estimated_load(*it, now) + 1.0 <= std::max<std::uint32_t>(1, it->entry_.slots) &&
                std::find(excluded.begin(), excluded.end(), it) == excluded.end();
     });
@@ -325,14 +347,16 @@
 }
 
 upstream_pointer upstream_table::choose(const service_name& service,
-                                        std::span<const upstream_pointer> excluded, time_point now)
+                                        std::span<const upstream_pointer> excluded, time_point now,
+                                        version_choice versions)
 {
     double total = 0.0;
     upstream_pointer chosen;
     upstream_pointer last_reserved;
     upstream_pointer last_resort;
     for (const upstream_pointer& it : of_service(service)) {
-        if (!it->usable() || std::find(excluded.begin(), excluded.end(), it) != excluded.end() ||
+        if (it->on_trial_ != (versions == version_choice::trial) || !it->usable() ||
+            std::find(excluded.begin(), excluded.end(), it) != excluded.end() ||
             !may_call(*it, now))
             continue;
         // After the backoff the upstream gets one call at a time until a reply comes.
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/identifiers.h"
 #include "base/randomsource.h"
+#include "rollout/versionrule.h"
 #include "settings/declaration.h"
 #include "upstreams/fleetshare.h"
 #include "upstreams/statedlimit.h"
@@ -38,6 +39,8 @@
     duration cold_remaining{};
     // Changes when the upstream restarts under the same id.
     std::uint64_t incarnation = 0;
+    // Of its software; empty if it does not state one.
+    std::string version = {};
 
     auto operator<=>(const upstream_entry&) const = default;
 };
@@ -90,7 +93,7 @@
     /// May get calls at all.
     [[nodiscard]] bool usable() const
     {
-        return listed_ && !entry_.leaving && !stated_leaving_ && !domain_out_;
+        return listed_ && !entry_.leaving && !stated_leaving_ && !domain_out_ && !version_out_;
     }
     /// May get calls now.
     [[nodiscard]] bool accepts_calls(time_point now) const
@@ -99,6 +102,13 @@
     }
     /// The registration has disappeared and may come back soon.
     [[nodiscard]] bool lapsing() const { return lapsing_; }
+    /// Gets calls only as trials of its version.
+    [[nodiscard]] bool on_trial() const { return on_trial_; }
+    /// Neither cold nor known to this host for a moment only, so that its times show its version.
+    [[nodiscard]] bool warm(time_point now) const
+    {
+        return now >= cold_until_ && now - listed_since_ >= warm_up_time;
+    }
     /// Calls of this host in progress.
     [[nodiscard]] std::uint32_t calls() const { return calls_; }
     /// What the upstream stated last.
@@ -112,10 +122,17 @@
 private:
     friend class upstream_table;
 
+    // Upstreams are slow for some seconds after their start.
+    static constexpr duration warm_up_time = std::chrono::seconds{3};
+
     upstream_entry entry_;
     bool listed_ = true;
     bool lapsing_ = false;
     bool domain_out_ = false;
+    // See version_rule.
+    bool version_out_ = false;
+    bool on_trial_ = false;
+    time_point listed_since_{};
     // Calls of this host in progress.
     std::uint32_t calls_ = 0;
     // Moving average of call_time::relative, as of relative_latency_at_.
@@ -151,6 +168,14 @@
 
 using upstream_pointer = boost::intrusive_ptr<upstream>;
 
+/// Which upstreams of a service a call may go to.
+enum class version_choice : std::uint8_t {
+    // All but those on trial.
+    regular,
+    // Those on trial.
+    trial,
+};
+
 /// Hash of an upstream's id and incarnation; the same on all hosts.
 using lifetime_key = std::uint64_t;
 
@@ -169,6 +194,8 @@
     /// take them.
     void set_lapsing(const upstream_id& id);
     void set_domains_out(const std::set<failure_domain_id>& domains);
+    /// Sets the versions of `service` that may get calls.
+    void set_version_rule(const service_name& service, const version_rule& rule);
     /// Calls per second that all hosts together may send to each upstream of `service` in its
     /// cold start; 0: no limit.
     void set_cold_rate(const service_name& service, double calls_per_second, time_point now);
@@ -194,8 +221,10 @@
     /// Chooses an upstream of `service` that is not in `excluded`, at random with a preference
     /// for lower cost. Null if none can take a call. `excluded` is empty for the first call of a
     /// request.
-    [[nodiscard]] upstream_pointer
-    choose(const service_name& service, std::span<const upstream_pointer> excluded, time_point now);
+    [[nodiscard]] upstream_pointer choose(const service_name& service,
+                                          std::span<const upstream_pointer> excluded,
+                                          time_point now,
+                                          version_choice versions = version_choice::regular);
     /// Estimated time that a call to the least loaded upstream of `service` waits for a slot;
     /// zero if nothing is known.
     [[nodiscard]] duration expected_wait(const service_name& service, time_point now) const;
@@ -254,6 +283,7 @@
         duration run_time{};
     };
 
+    void apply_version_rule(upstream& it) const;
     // Takes over what the same lifetime has stated before its entry was removed.
     void restore_statements(upstream& it, time_point now);
     // Remembers what `it` has stated, because its entry may return.
@@ -286,6 +316,8 @@
     failure_domain_id own_domain_;
     random_source random_;
     std::set<failure_domain_id> domains_out_;
+    // Only rules with entries.
+    std::unordered_map<service_name, version_rule> version_rules_;
     std::unordered_map<upstream_id, upstream_pointer> by_id_;
     // Upstreams of by_id_ by report_key().
     std::unordered_map<std::uint32_t, upstream_pointer> by_report_key_;
--- a/tests/standins/platform/platformstore.cpp
+++ b/tests/standins/platform/platformstore.cpp
@@ -102,6 +102,11 @@
     const std::string kind{path.substr(0, slash)};
     const std::string name{slash == std::string_view::npos ? "" : path.substr(slash + 1)};
     const auto query = query_parameters(message.target);
+    constexpr std::string_view status_suffix = "/status";
+    if (message.method == "PUT" && name.ends_with(status_suffix)) {
+        write_status(exchange, kind, name.substr(0, name.size() - status_suffix.size()));
+        return;
+    }
     if (message.method != "GET") {
         write(exchange, kind, name);
         return;
@@ -269,6 +274,27 @@
     answer(exchange, status, found == kinds_[kind].end() ? json::object() : found->second);
 }
 
+void platform_store::write_status(http_exchange& exchange, const std::string& kind,
+                                  const std::string& name)
+{
+    const json body = json::parse(exchange.request().body, nullptr, false);
+    const auto found = kinds_[kind].find(name);
+    if (found == kinds_[kind].end() || !body.is_object()) {
+        answer(exchange, 404, json::object());
+        return;
+    }
+    json& object = found->second;
+    const json meta = body.value("meta", json::object());
+    if (meta.contains("revision") && meta["revision"] != object["meta"]["revision"]) {
+        answer(exchange, 409, object);
+        return;
+    }
+    object["status"] = body.at("status");
+    object["meta"]["revision"] = ++revision_;
+    record_change(kind, object, false);
+    answer(exchange, 200, object);
+}
+
 void platform_store::forget_history()
 {
     history_.clear();
--- a/tests/standins/platform/platformstore.h
+++ b/tests/standins/platform/platformstore.h
@@ -101,6 +101,9 @@
     [[nodiscard]] nlohmann::json watch_answer(const std::string& kind, std::uint64_t after,
                                               bool stale) const;
     void write(http_exchange& exchange, const std::string& kind, const std::string& name);
+    // Replaces the status of an object if its revision is the one that the call states, or the call
+    // states none.
+    void write_status(http_exchange& exchange, const std::string& kind, const std::string& name);
     void record_change(const std::string& kind, const nlohmann::json& object, bool deleted);
     [[nodiscard]] nlohmann::json events_after(const std::string& kind, std::uint64_t after) const;
     void answer(http_exchange& exchange, int status, const nlohmann::json& body) const;
