tests: two hosts in one process complete and roll back together

Both judge the same counts and both want to write the status, so the slack may be used twice and the writes may collide. Measured: a good version is completed within its 12 s, and one that always fails is rolled back with at most 50 requests over both hosts.

--- a/tests/auto/gateway/tst_rollouts.cpp
+++ b/tests/auto/gateway/tst_rollouts.cpp
@@ -100,6 +100,32 @@
     cr_assert_eq(f.target_runs(), exposed);
 }
 
+// Two hosts decide at once, or the slack is given to each of them.
+Test(rollouts, two_hosts_roll_back_and_complete_together)
+{
+    for (const bool failing : {false, true}) {
+        rollout_fixture f;
+        const gateway_settings second = f.other_host("h2");
+        gateway other{f.loop, f.timers, second, f.log, 6};
+        other.start();
+        f.wait_until([&] { return f.get(second.readiness, "/ebonywick/ready").status == 200; });
+        f.run(4s);
+        f.add_target();
+        f.put_order(12);
+        f.run(500ms);
+        for (std::size_t it = f.upstreams.size() - 2; failing && it < f.upstreams.size(); ++it)
+            f.upstreams[it]->fail_next(standin::upstream_fault::fail, 1000);
+        const endpoint first = f.settings.callers;
+        for (int it = 0; it < 23; ++it) {
+            f.settings.callers = it % 2 == 0 ? first : second.callers;
+            f.request_for(500ms);
+        }
+        cr_assert_str_eq(f.state().c_str(), failing ? "rolled_back" : "completed");
+        if (failing)
+            cr_assert_leq(f.target_runs(), 50);
+    }
+}
+
 // A host that starts after a roll-back sends requests to the version.
 Test(rollouts, a_host_that_starts_after_a_roll_back_leaves_the_version_alone)
 {
