gateway: roll-outs wake an idle host at most once a second

The timer of roll-outs ran each 250 ms on every host of a deployment that states an exposure_share, also without an order. It now runs that often only while an order is open, once a second while a service has several versions, and not at all otherwise. The four cases of tst_rollouts pass.

--- a/src/libs/gateway/gatewayrollouts.cpp
+++ b/src/libs/gateway/gatewayrollouts.cpp
@@ -19,6 +19,8 @@
 // Each host waits this much longer than the one before it until it writes a status.
 constexpr duration writer_step = std::chrono::milliseconds{300};
 constexpr duration status_write_timeout = std::chrono::milliseconds{1000};
+// While no order is open.
+constexpr duration idle_check_interval = std::chrono::seconds{1};
 // A write that was not taken is repeated, or the change that prevented it has been read by then.
 constexpr duration status_write_pause = std::chrono::milliseconds{300};
 
@@ -131,7 +133,11 @@
     if (changed)
         send_rollout_reports(now);
     write_rollout_status(now);
-    rollout_timer_.set(now + settings_.rollback / reports_per_rollback_time);
+    // Without an open order, only versions that wait for one are to be released.
+    if (rollouts_.any_open())
+        rollout_timer_.set(now + settings_.rollback / reports_per_rollback_time);
+    else if (!rollouts_.services().empty())
+        rollout_timer_.set(now + idle_check_interval);
 }
 
 bool gateway::note_stage(const rollout& it, time_point now)
