--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -1,6 +1,7 @@
 // Admission, hedging, retries and completion of a fanned-out request.
 #include "fanout/fanout.h"
 
+#include "base/hashing.h"
 #include "routing/recordmerge.h"
 
 #include <algorithm>
@@ -52,6 +53,8 @@
 // refused while the others are not.
 constexpr double above_share_wait_factor = 0.5;
 constexpr double starved_wait_factor = 1.5;
+// An answer that takes longer than this multiple of the median is slow, when versions are compared.
+constexpr double slow_answer_factor = 2.5;
 // Upper bound of the retry-after time of other refusals. Discovery reports a new upstream
 // within a few hundred milliseconds.
 constexpr duration max_retry_after = milliseconds{300};
@@ -135,14 +138,30 @@
     return now - it.sent >= late_call_factor * usual;
 }
 
+upstream_pointer fan_out::choose_upstream(const call_target& of, call_reason reason, time_point now)
+{
+    rollout_table* const rollouts = shared_.rollouts;
+    // A hedge or a retry of a trial must not be answered by the version on trial.
+    if (rollouts != nullptr && reason == call_reason::first && rollouts->may_try(of.service, now)) {
+        if (auto to = shared_.upstreams.choose({of.service, of.tried, now, version_choice::trial}))
+            return to;
+    }
+    upstream_pointer out = shared_.upstreams.choose({of.service, of.tried, now});
+    if (!out && rollouts != nullptr && rollouts->may_fall_back(of.service, now))
+        out = shared_.upstreams.choose({of.service, of.tried, now, version_choice::trial});
+    return out;
+}
+
 bool fan_out::send(std::size_t index, call_reason reason, time_point now,
                    std::vector<fan_out_action>& out)
 {
     call_target& it = targets_[index];
-    const upstream_pointer to = shared_.upstreams.choose({it.service, it.tried, now});
+    const upstream_pointer to = choose_upstream(it, reason, now);
     if (!to)
         return false;
     shared_.upstreams.call_started(*to, now);
+    if (shared_.rollouts != nullptr)
+        shared_.rollouts->call_started(it.service, to->entry().version);
     it.tried.push_back(to);
     ++it.attempts;
     ++it.open_calls;
@@ -176,6 +195,8 @@
     }
     for (std::size_t it = 0; it < targets_.size(); ++it) {
         shared_.budget.record_request(targets_[it].service, now);
+        if (shared_.rollouts != nullptr)
+            shared_.rollouts->request_started(targets_[it].service);
         if (!send(it, call_reason::first, now, out)) {
             targets_[it].failed = true;
             ++failed_targets_;
@@ -267,9 +288,42 @@
     it.open = false;
     --targets_[it.target].open_calls;
     const duration took = now - it.sent;
+    record_answer(it, result, took, now);
     shared_.upstreams.call_ended(*it.to, result, {took, times_.relative_to_median(took)}, now);
 }
 
+void fan_out::record_answer(const call& it, call_result result, duration took, time_point now)
+{
+    if (shared_.rollouts == nullptr)
+        return;
+    const bool slow =
+        took > std::chrono::duration_cast<duration>(times_.median() * slow_answer_factor);
+    const bool timed = times_.median() > duration::zero() && it.to->warm(now);
+    version_answer answer;
+    answer.route = static_cast<std::uint32_t>(stable_hash(plan_.matched_route->name));
+    switch (result) {
+    case call_result::replied:
+        break;
+    case call_result::failed:
+    case call_result::lost:
+        answer.failed = true;
+        answer.lost = result == call_result::lost;
+        break;
+    case call_result::cancelled:
+        // The time is a lower bound.
+        if (!timed || !slow)
+            return;
+        break;
+    case call_result::shed:
+    case call_result::unreachable:
+        return;
+    }
+    if (timed && !answer.failed)
+        answer.slow = slow;
+    const upstream_entry& entry = it.to->entry();
+    shared_.rollouts->answered(entry.id, entry.service, entry.version, answer, now);
+}
+
 void fan_out::on(call_replied& event, time_point now, std::vector<fan_out_action>& out)
 {
     call& it = calls_[event.call];
--- a/src/libs/settings/yamlreader.cpp
+++ b/src/libs/settings/yamlreader.cpp
@@ -194,6 +194,9 @@
     out.quota_window = milliseconds_to_duration(section.number("quota_window_s") * 1000);
     out.quota_overage = section.number("quota_overage");
     out.quota_slack = section.number("quota_slack");
+    out.exposure_share = section.number("exposure_share");
+    out.exposure_slack = section.number("exposure_slack");
+    out.rollback = milliseconds_to_duration(section.number("rollback_ms"));
     out.log_level = static_cast<log_threshold>(section.choice("log_level"));
     if (!problems.empty())
         return problems.sorted();
--- a/src/libs/upstreams/upstream.h
+++ b/src/libs/upstreams/upstream.h
@@ -2,14 +2,15 @@
 #pragma once
 
 #include "base/clock.h"
-#include "upstreams/statedlimit.h"
 #include "ratelimits/tokenbucket.h"
+#include "upstreams/statedlimit.h"
 #include "upstreams/upstreamentry.h"
 #include "upstreams/upstreamobservation.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <utility>
 
@@ -28,7 +29,7 @@
     /// May get calls at all.
     [[nodiscard]] bool usable() const
     {
-        return listed_ && !entry_.leaving && !stated_leaving_ && !domain_out_;
+        return listed_ && !entry_.leaving && !stated_leaving_ && !domain_out_ && !version_out_;
     }
     /// May get calls now.
     [[nodiscard]] bool accepts_calls(time_point now) const
@@ -37,6 +38,13 @@
     }
     /// The registration has disappeared and may come back soon.
     [[nodiscard]] bool lapsing() const { return lapsing_; }
+    /// Gets calls only as trials of its version.
+    [[nodiscard]] bool on_trial() const { return on_trial_; }
+    /// Neither cold nor known to this host for a moment only, so that its times show its version.
+    [[nodiscard]] bool warm(time_point now) const
+    {
+        return !cold(now) && now - listed_since_ >= warm_up_time;
+    }
     /// Calls of this host in progress.
     [[nodiscard]] std::uint32_t calls() const { return observed_.calls(); }
     /// What the upstream stated last.
@@ -58,6 +66,9 @@
 private:
     friend class upstream_table;
 
+    // Upstreams are slow for some seconds after their start.
+    static constexpr duration warm_up_time = std::chrono::seconds{3};
+
     // Whether the rate of calls is limited because of the cold start.
     [[nodiscard]] bool cold_limited(time_point now) const;
 
@@ -65,6 +76,10 @@
     bool listed_ = true;
     bool lapsing_ = false;
     bool domain_out_ = false;
+    // See version_rule.
+    bool version_out_ = false;
+    bool on_trial_ = false;
+    time_point listed_since_{};
     upstream_observation observed_;
     bool stated_leaving_ = false;
     time_point paused_until_{};
--- a/src/libs/upstreams/upstreamchoice.cpp
+++ b/src/libs/upstreams/upstreamchoice.cpp
@@ -31,7 +31,8 @@
 
 bool choice_request::allows(const upstream_pointer& it) const
 {
-    return std::find(excluded.begin(), excluded.end(), it) == excluded.end();
+    return it->on_trial() == (versions == version_choice::trial) &&
+           std::find(excluded.begin(), excluded.end(), it) == excluded.end();
 }
 
 double upstream_choice::cost(const upstream& it, time_point now) const
@@ -88,8 +89,8 @@
     double least = std::numeric_limits<double>::max();
     for (const upstream_pointer& it : candidates) {
         const upstream_observation& observed = it->observed();
-        if (!it->usable() || observed.backoff_until() > now || !it->may_call(now) ||
-            it->reserved(now))
+        if (!it->usable() || it->on_trial() || observed.backoff_until() > now ||
+            !it->may_call(now) || it->reserved(now))
             continue;
         const double slots = slots_of(*it);
         const double rounds = std::max(0.0, observed.estimated_load(now) + 1.0 - slots) / slots;
--- a/src/libs/upstreams/upstreamchoice.h
+++ b/src/libs/upstreams/upstreamchoice.h
@@ -6,11 +6,20 @@
 #include "base/randomsource.h"
 #include "upstreams/upstream.h"
 
+#include <cstdint>
 #include <span>
 #include <utility>
 
 namespace ebonywick {
 
+/// Which upstreams of a service a call may go to.
+enum class version_choice : std::uint8_t {
+    // All but those on trial.
+    regular,
+    // Those on trial.
+    trial,
+};
+
 /// What a call needs of its upstream.
 struct choice_request
 {
@@ -18,6 +27,7 @@
     // Upstreams that the request has called; empty for its first call. They outlive the choice.
     std::span<const upstream_pointer> excluded = {};
     time_point now;
+    version_choice versions = version_choice::regular;
 
     /// Whether `it` may take the call as far as the request is concerned.
     [[nodiscard]] bool allows(const upstream_pointer& it) const;
--- a/src/libs/upstreams/upstreamtable.cpp
+++ b/src/libs/upstreams/upstreamtable.cpp
@@ -60,6 +60,7 @@
         if (same_lifetime(old, entry)) {
             found->second->entry_ = entry;
             found->second->lapsing_ = false;
+            apply_version_rule(*found->second);
             if (entry.cold_remaining > duration::zero())
                 cold_reported(*found->second, entry.cold_remaining, now);
             return;
@@ -68,6 +69,8 @@
     }
     const upstream_pointer it{new upstream{entry}};
     it->domain_out_ = domains_out_.contains(entry.domain);
+    it->listed_since_ = now;
+    apply_version_rule(*it);
     it->cold_until_ = now + entry.cold_remaining;
     divide_cold_rate(*it, now);
     // A random initial level, so that the hosts do not all send their first call at once.
@@ -136,6 +139,24 @@
         it->domain_out_ = domains_out_.contains(it->entry_.domain);
 }
 
+void upstream_table::set_version_rule(const service_name& service, const version_rule& rule)
+{
+    if (rule == version_rule{})
+        version_rules_.erase(service);
+    else
+        version_rules_[service] = rule;
+    for (const upstream_pointer& it : of_service(service))
+        apply_version_rule(*it);
+}
+
+void upstream_table::apply_version_rule(upstream& it) const
+{
+    const auto rule = version_rules_.find(it.entry_.service);
+    const bool ruled = rule != version_rules_.end();
+    it.version_out_ = ruled && rule->second.excludes(it.entry_.version);
+    it.on_trial_ = ruled && rule->second.is_trial(it.entry_.version);
+}
+
 void upstream_table::set_cold_rate(const service_name& service, double calls_per_second,
                                    time_point now)
 {
--- a/src/libs/upstreams/upstreamtable.h
+++ b/src/libs/upstreams/upstreamtable.h
@@ -5,6 +5,7 @@
 #include "base/identifiers.h"
 #include "base/randomsource.h"
 #include "ratelimits/fleetshare.h"
+#include "rollout/versionrule.h"
 #include "upstreams/statedlimit.h"
 #include "upstreams/upstream.h"
 #include "upstreams/upstreamchoice.h"
@@ -36,6 +37,8 @@
     /// take them.
     void set_lapsing(const upstream_id& id);
     void set_domains_out(const std::set<failure_domain_id>& domains);
+    /// Sets the versions of `service` that may get calls.
+    void set_version_rule(const service_name& service, const version_rule& rule);
     /// Calls per second that all hosts together may send to each upstream of `service` in its
     /// cold start; 0: no limit.
     void set_cold_rate(const service_name& service, double calls_per_second, time_point now);
@@ -117,6 +120,7 @@
         duration run_time{};
     };
 
+    void apply_version_rule(upstream& it) const;
     // Takes over what the same lifetime has stated before its entry was removed.
     void restore_statements(upstream& it, time_point now);
     // Remembers what `it` has stated, because its entry may return.
@@ -129,6 +133,8 @@
     upstream_choice choice_;
     random_source random_;
     std::set<failure_domain_id> domains_out_;
+    // Only rules with entries.
+    std::unordered_map<service_name, version_rule> version_rules_;
     std::unordered_map<upstream_id, upstream_pointer> by_id_;
     // Upstreams of by_id_ by report_key().
     std::unordered_map<std::uint32_t, upstream_pointer> by_report_key_;
