gateway: bytes held and callers cut off are shown in metrics and the log

Metrics show the bytes held by charged class, requests without room and connections without a descriptor; a line callers_cut tells the counts, at most every 5 s.

--- a/src/libs/gateway/constants.h
+++ b/src/libs/gateway/constants.h
@@ -184,5 +184,7 @@
 inline constexpr duration linger_time = milliseconds{1000};
 
 inline constexpr duration log_flush_interval = milliseconds{250};
+// Shortest time between two log lines about callers that were cut off.
+inline constexpr duration cut_callers_log_interval = seconds{5};
 
 } // namespace ebonywick::gateway_constants
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -161,6 +161,7 @@
       heartbeat_timer_(timers, [this] { on_heartbeat_due(); }),
       log_timer_(timers,
                  [this] {
+                     log_cut_callers(timers_.now());
                      log_.flush(timers_.now());
                      log_timer_.set_after(gateway_constants::log_flush_interval);
                  }),
@@ -331,6 +332,21 @@
                 {"grace_ms", std::to_string(to_milliseconds(settings.grace))}});
 }
 
+void gateway::log_cut_callers(time_point now)
+{
+    const keeper_counts& counts = keeper_->counts();
+    if (counts == logged_counts_ ||
+        now - counts_logged_at_ < gateway_constants::cut_callers_log_interval)
+        return;
+    logged_counts_ = counts;
+    counts_logged_at_ = now;
+    log_.write(log_level::warning, "callers_cut",
+               {{"held_back", counts.held_back},
+                {"given_up", counts.given_up},
+                {"rejected", counts.rejected},
+                {"closed", counts.closed}});
+}
+
 bool gateway::knows_state() const
 {
     return routes_ && upstream_watch_.complete() && domain_watch_.complete();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -111,6 +111,8 @@
     [[nodiscard]] applied_revisions known() const;
     // Watches the store and is in contact with it.
     [[nodiscard]] bool reads_store() const;
+    // Logs what callers have lost for want of room, if that has changed.
+    void log_cut_callers(time_point now);
     void check_leave_progress();
     [[nodiscard]] duration grace_part(double ratio) const;
     // Whether this host, which is leaving, can still answer a request that arrives now.
@@ -153,6 +155,9 @@
     host_registration registration_;
     heartbeat_link heartbeat_link_;
     std::shared_ptr<session_keeper> keeper_;
+    // As last logged, and when.
+    keeper_counts logged_counts_;
+    time_point counts_logged_at_{};
     http_server caller_server_;
     http_server readiness_server_;
     http_server directory_server_;
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -143,6 +143,10 @@
          {platform::store_collection::configuration, platform::store_collection::upstreams,
           platform::store_collection::removed_domains, platform::store_collection::hosts})
         ages.emplace_back(to_string(it), watch_of(it).reply_age());
+    std::vector<std::pair<std::string_view, std::uint64_t>> held;
+    for (const memory::byte_class it : memory::charged_classes)
+        held.emplace_back(to_string(it), keeper_->account()->used(it));
+    const keeper_counts& counts = keeper_->counts();
     const auto body = metrics_.exposition(
         {.config_version = routes_ ? routes_->configuration().version : 0,
          .upstreams = upstreams_.size(),
@@ -155,6 +159,9 @@
          .upstream_connections = pool_.connection_count(),
          .upstream_connections_opened = pool_.connections_opened(),
          .caller_connections = caller_server_.session_count(),
+         .held_bytes = std::move(held),
+         .requests_without_room = counts.given_up + counts.rejected,
+         .connections_without_descriptor = counts.closed,
          .entry_hosts = peers_.entry_hosts(timers_.now()).size(),
          .store_epoch = store_epoch_,
          .store_reply_ages = std::move(ages),
--- a/src/libs/memory/byteaccount.h
+++ b/src/libs/memory/byteaccount.h
@@ -29,6 +29,10 @@
 
 inline constexpr std::size_t byte_class_count = 7;
 
+/// The classes that the gateway charges so far.
+inline constexpr std::array charged_classes{byte_class::caller_headers, byte_class::caller_bodies,
+                                            byte_class::forwarded_requests, byte_class::answers};
+
 [[nodiscard]] std::string_view to_string(byte_class of);
 
 struct byte_budget
--- a/src/libs/metrics/gatewaymetrics.cpp
+++ b/src/libs/metrics/gatewaymetrics.cpp
@@ -165,6 +165,18 @@
         static_cast<double>(values.upstream_connections_opened));
     set("ebonywick_gateway_caller_connections", "Open connections of callers",
         static_cast<double>(values.caller_connections));
+    auto& held = prometheus::BuildGauge()
+                     .Name("ebonywick_gateway_held_bytes")
+                     .Help("Bytes held for callers and others")
+                     .Register(state_->registry);
+    for (const auto& [of, bytes] : values.held_bytes)
+        held.Add({{"class", std::string{of}}}).Set(static_cast<double>(bytes));
+    set("ebonywick_gateway_requests_without_room",
+        "Requests given up or rejected for want of memory since the start",
+        static_cast<double>(values.requests_without_room));
+    set("ebonywick_gateway_connections_without_descriptor",
+        "Connections closed for want of descriptors since the start",
+        static_cast<double>(values.connections_without_descriptor));
     set("ebonywick_gateway_entry_hosts", "Entry hosts that callers are told to use",
         static_cast<double>(values.entry_hosts));
     set("ebonywick_gateway_store_epoch", "Restorations of the store that its replies state",
--- a/src/libs/metrics/gatewaymetrics.h
+++ b/src/libs/metrics/gatewaymetrics.h
@@ -55,6 +55,12 @@
         // Connections opened since the start.
         std::uint64_t upstream_connections_opened = 0;
         std::size_t caller_connections = 0;
+        // Bytes held for callers and others, by class.
+        std::vector<std::pair<std::string_view, std::uint64_t>> held_bytes;
+        // Requests given up or rejected for want of memory, since the start.
+        std::uint64_t requests_without_room = 0;
+        // Connections closed for want of descriptors, since the start.
+        std::uint64_t connections_without_descriptor = 0;
         // Entry hosts that callers are told to use.
         std::size_t entry_hosts = 0;
         // As stated by the store's latest reply.
