memory: charges move their account

The linter rejects a move constructor that copies a member. A charge that was moved from has no account now, and resizing it has no effect; before, it kept the account and a size of 0. The gateway was not rebuilt on this commit: of the header only comments have changed.

--- a/src/libs/memory/byteaccount.cpp
+++ b/src/libs/memory/byteaccount.cpp
@@ -51,7 +51,7 @@
 }
 
 byte_charge::byte_charge(byte_charge&& other) noexcept
-    : account_(other.account_), of_(other.of_), size_(std::exchange(other.size_, 0))
+    : account_(std::move(other.account_)), of_(other.of_), size_(std::exchange(other.size_, 0))
 {
 }
 
@@ -60,7 +60,7 @@
     if (this == &other)
         return *this;
     resize(0);
-    account_ = other.account_;
+    account_ = std::move(other.account_);
     of_ = other.of_;
     size_ = std::exchange(other.size_, 0);
     return *this;
@@ -68,6 +68,8 @@
 
 void byte_charge::resize(std::uint64_t bytes) noexcept
 {
+    if (!account_)
+        return;
     std::uint64_t& used = account_->used_[index_of(of_)];
     used = used - size_ + bytes;
     size_ = bytes;
--- a/src/libs/memory/byteaccount.h
+++ b/src/libs/memory/byteaccount.h
@@ -81,10 +81,12 @@
     byte_charge(const byte_charge&) = delete;
     byte_charge& operator=(const byte_charge&) = delete;
 
+    /// Without effect on a charge that was moved from.
     void resize(std::uint64_t bytes) noexcept;
     [[nodiscard]] std::uint64_t size() const { return size_; }
 
 private:
+    // Null after a move.
     byte_account_pointer account_;
     byte_class of_;
     std::uint64_t size_ = 0;
