--- a/src/libs/memory/byteaccount.h
+++ b/src/libs/memory/byteaccount.h
@@ -29,6 +29,10 @@
 
 inline constexpr std::size_t byte_class_count = 7;
 
+/// The classes that the gateway charges so far.
+inline constexpr std::array charged_classes{byte_class::caller_headers, byte_class::caller_bodies,
+                                            byte_class::forwarded_requests, byte_class::answers};
+
 [[nodiscard]] std::string_view to_string(byte_class of);
 
 struct byte_budget
@@ -77,10 +81,12 @@
     byte_charge(const byte_charge&) = delete;
     byte_charge& operator=(const byte_charge&) = delete;
 
+    /// Without effect on a charge that was moved from.
     void resize(std::uint64_t bytes) noexcept;
     [[nodiscard]] std::uint64_t size() const { return size_; }
 
 private:
+    // Null after a move.
     byte_account_pointer account_;
     byte_class of_;
     std::uint64_t size_ = 0;
