customers: quotas leave room for hosts that see few requests of a customer

Three reasons, by reading: all registered hosts counted as calling hosts for ten minutes after a start, so that no host heard a majority and each kept its even part; a bucket that had never been used was empty; a host that sees a customer's requests less often than every four seconds had no part when the next one came. Change: only hosts that have stated demand are remembered; the first request of a customer finds a full bucket once the host has run for a window; the memory of demand spans two requests of a host, 20 s at most; each host has one token if the capacity bears it; the slack is capacity only.

--- a/src/libs/customers/quotashares.cpp
+++ b/src/libs/customers/quotashares.cpp
@@ -14,25 +14,27 @@
 
 // Part of the tolerance that is used, so that the bound holds although views differ by a message.
 constexpr double used_tolerance = 0.85;
-// Part of the rate that is divided evenly.
+// Part of the rate that is divided evenly: for quotas of many requests a host, whose demand is well
+// known, and for those of few, which a host often does not see within the memory of demand.
 constexpr double even_rate_ratio = 0.1;
+constexpr double max_even_rate_ratio = 0.3;
 // The same of the burst; more if each host can have one token by that, up to max_even_ratio.
 constexpr double even_burst_ratio = 0.25;
-constexpr double max_even_ratio = 0.35;
-// Part of the slack that is granted as rate, so that an empty bucket fills within some windows
-// although the quota is low.
-constexpr double slack_as_rate = 0.25;
-constexpr double even_extra_ratio = 0.5;
-// A request counts for 1/e of the demand after this time: longer than the gaps between a few
-// requests a second, shorter than callers take to move to another host.
-constexpr double demand_memory_s = 4.0;
+constexpr double max_even_ratio = 0.6;
+// A request counts for 1/e of the demand after this time: longer than the gaps between the requests
+// that a host gets of the customer, and otherwise shorter than callers take to move to another
+// host.
+constexpr double min_demand_memory_s = 4.0;
+constexpr double max_demand_memory_s = 20.0;
+constexpr double remembered_requests = 2.0;
 constexpr double weight_unit = 16.0;
 // A host that hears no majority for this time keeps only its even part.
 constexpr duration contact_timeout = seconds{4};
 // The demand of a silent host counts for this time: it gives up its part after contact_timeout,
 // and its last requests have then left the window.
 constexpr duration silent_retention = seconds{10};
-// For this time a host that callers are no longer told to use counts for majorities.
+// For this time a host that has stated demand counts for majorities, although callers are no longer
+// told to use it.
 constexpr duration host_memory = std::chrono::minutes{10};
 
 } // namespace
@@ -64,7 +66,6 @@
     quotas_ = std::move(kept);
     for (auto& [name, it] : quotas_)
         update(it, name, now);
-    has_customers_ = true;
 }
 
 void quota_shares::set_hosts(const sharing_hosts& hosts, time_point now)
@@ -74,8 +75,11 @@
         if (it != self_)
             known_hosts_[it] = now;
     }
-    std::erase_if(known_hosts_, [&](const auto& it) { return now - it.second > host_memory; });
     std::erase_if(heard_at_, [&](const auto& it) { return now - it.second > host_memory; });
+    std::erase_if(stated_demand_at_, [&](const auto& it) { return now - it.second > host_memory; });
+    std::erase_if(known_hosts_, [&](const auto& it) {
+        return it.second != now && !stated_demand_at_.contains(it.first);
+    });
     // Hosts that are forgotten early would leave their part to each side of a partition.
     sharing_hosts remembered{{}, hosts.unknown};
     if (std::find(hosts.known.begin(), hosts.known.end(), self_) != hosts.known.end())
@@ -95,13 +99,24 @@
     return static_cast<std::size_t>(heard + 1) * 2 > known_hosts_.size() + 1 + assumed_hosts_;
 }
 
-double quota_shares::demand_at(const quota& it, time_point now)
+double quota_shares::host_count() const
+{
+    return static_cast<double>(known_hosts_.size() + assumed_hosts_ + 1);
+}
+
+double quota_shares::demand_memory_s(const quota& of) const
+{
+    return std::clamp(remembered_requests * host_count() / of.per_second, min_demand_memory_s,
+                      max_demand_memory_s);
+}
+
+double quota_shares::demand_at(const quota& it, time_point now) const
 {
     const double age = std::chrono::duration<double>(now - it.demand_at).count();
-    return it.demand * std::exp(-age / demand_memory_s);
+    return it.demand * std::exp(-age / demand_memory_s(it));
 }
 
-bool quota_shares::is_active(const quota& it, time_point now)
+bool quota_shares::is_active(const quota& it, time_point now) const
 {
     return demand_at(it, now) * weight_unit >= 1 || it.sent.weights != recent_demand{}.weights ||
            std::any_of(it.others.begin(), it.others.end(), [&](const auto& other) {
@@ -112,16 +127,15 @@
 quota_shares::part quota_shares::part_of(const quota& it, const std::string& name,
                                          time_point now) const
 {
-    const double window = std::chrono::duration<double>(bound_.window).count();
     const double overage = 1.0 + bound_.overage * used_tolerance;
-    const double slack = bound_.slack * used_tolerance;
     const double rate = it.per_second * overage;
-    const double extra_rate = slack * slack_as_rate / window;
-    const double capacity = it.burst * overage + slack * (1.0 - slack_as_rate);
-    const auto hosts = static_cast<double>(known_hosts_.size() + assumed_hosts_ + 1);
+    const double capacity = it.burst * overage + bound_.slack * used_tolerance;
+    const double hosts = host_count();
     const double even_capacity =
         std::max(capacity * even_burst_ratio, std::min(hosts, capacity * max_even_ratio));
-    const double even_rate = rate * even_rate_ratio + extra_rate * even_extra_ratio;
+    const double seen_by_host = it.per_second * min_demand_memory_s / hosts;
+    const double even_rate =
+        rate * std::max(even_rate_ratio, max_even_rate_ratio / (1.0 + seen_by_host));
     part out;
     out.per_second = share_.equal_part_of(even_rate);
     // A bucket of less than one token would never let a request through.
@@ -140,7 +154,7 @@
         all += weight;
         ++demanding;
     }
-    out.per_second += (rate + extra_rate - even_rate) * own / all;
+    out.per_second += (rate - even_rate) * own / all;
     // A bucket serves the fluctuations of a host's demand, which are large where demand is low.
     out.capacity += (capacity - even_capacity) * (own / all + 1.0 / demanding) / 2;
     return out;
@@ -151,11 +165,8 @@
     const part own = part_of(it, name, now);
     const bool fresh = it.bucket == token_bucket{};
     it.bucket.set_rate(own.per_second, own.capacity, now);
-    // As if the bucket had been empty when the host started; a customer that is added later begins
-    // with none.
-    if (fresh && has_customers_)
-        it.bucket.set_tokens(0, now);
-    else if (fresh) {
+    // As if the bucket had been empty when the host started.
+    if (fresh) {
         const double age = std::chrono::duration<double>(now - started_at_).count();
         it.bucket.set_tokens(age * own.per_second, now);
     }
@@ -167,10 +178,14 @@
     if (found == quotas_.end())
         return true;
     quota& it = found->second;
+    const bool first = it.demand_at == time_point{};
     it.demand = demand_at(it, now) + 1.0;
     it.demand_at = now;
     active_.insert(customer);
     update(it, customer, now);
+    // What this host let through before it was restarted has left the window by then.
+    if (first && now - started_at_ >= bound_.window)
+        it.bucket.set_tokens(it.bucket.capacity(), now);
     if (!it.bucket.available(now))
         return false;
     it.bucket.take(now);
@@ -231,6 +246,8 @@
     if (from == self_)
         return;
     heard_at_[from] = now;
+    if (!demand.empty())
+        stated_demand_at_[from] = now;
     for (const customer_demand& it : demand) {
         const auto name = names_.find(it.customer);
         if (name == names_.end())
--- a/src/libs/customers/quotashares.h
+++ b/src/libs/customers/quotashares.h
@@ -34,11 +34,11 @@
 
 /// Quotas as seen by one host. Time is passed in and does not go back. Not thread-safe.
 ///
-/// A tenth of a quota's rate, a part of the slack and of the burst are divided evenly among
-/// the hosts that callers are told to use. The rest follows the demand: a host uses the lower one
-/// of the last two demands that it has sent, and for the others the higher one of the last two that
-/// it has received. So a part that moves is given up before it is taken, and the parts do not
-/// exceed the quota while no two messages in a row are lost.
+/// A part of a quota's rate, of the slack and of the burst are divided evenly among the hosts that
+/// callers are told to use; the larger, the fewer requests a host gets. The rest follows the
+/// demand: a host uses the lower one of the last two demands that it has sent, and for the others
+/// the higher one of the last two that it has received. So a part that moves is given up before it
+/// is taken, and the parts do not exceed the quota while no two messages in a row are lost.
 class quota_shares
 {
 public:
@@ -106,9 +106,13 @@
         double capacity = 0;
     };
 
-    [[nodiscard]] static double demand_at(const quota& it, time_point now);
+    // Hosts that may get requests, with this one.
+    [[nodiscard]] double host_count() const;
+    // Time in which a request's weight falls to 1/e.
+    [[nodiscard]] double demand_memory_s(const quota& of) const;
+    [[nodiscard]] double demand_at(const quota& it, time_point now) const;
     // Whether it has demand here or at other hosts.
-    [[nodiscard]] static bool is_active(const quota& it, time_point now);
+    [[nodiscard]] bool is_active(const quota& it, time_point now) const;
     [[nodiscard]] part part_of(const quota& it, const std::string& name, time_point now) const;
     // Adapts the bucket to the part at `now`.
     void update(quota& it, const std::string& name, time_point now);
@@ -119,16 +123,17 @@
     quota_bound bound_;
     time_point started_at_;
     fleet_share share_;
-    // Hosts that callers are or were told to use, with the time of that.
+    // Hosts that callers are told to use, and those of earlier times that have stated demand, with
+    // the time at which callers were last told to use them.
     std::map<host_id, time_point> known_hosts_;
     std::map<host_id, time_point> heard_at_;
+    std::map<host_id, time_point> stated_demand_at_;
     // Further ones of which only the number is assumed.
     std::size_t assumed_hosts_ = 0;
     std::unordered_map<std::string, quota> quotas_;
     std::unordered_map<std::uint32_t, std::string> names_;
     // Customers with demand at this host or at others; all others cost nothing.
     std::set<std::string> active_;
-    bool has_customers_ = false;
     // The customer with which the next report begins.
     std::string next_reported_;
 };
