gateway: each refusal for a quota is logged with the customer and this host's part of it

Cause: a refusal with 429 did not say which customer's quota it was, so that an operator could not tell a customer beyond its quota from one whose part is at other hosts. Change: event quota_exceeded with the customer and the rate and burst of this host's part.

--- a/src/libs/customers/quotashares.h
+++ b/src/libs/customers/quotashares.h
@@ -68,7 +68,7 @@
     [[nodiscard]] std::vector<host_id> demanding_hosts(time_point now) const;
 
     [[nodiscard]] static std::uint32_t key_of(const std::string& customer);
-    /// Rate of this host's part, in requests per second, and capacity of its bucket; for tests.
+    /// Rate of this host's part, in requests per second, and capacity of its bucket.
     [[nodiscard]] double rate_of(const std::string& customer, time_point now);
     [[nodiscard]] double capacity_of(const std::string& customer, time_point now);
 
--- a/src/libs/gateway/gatewaycustomers.cpp
+++ b/src/libs/gateway/gatewaycustomers.cpp
@@ -1,6 +1,8 @@
 // Customers: keys of requests, and what the configuration says of customers.
 #include "gateway/gateway.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -83,10 +85,15 @@
     const bool admitted = quotas_.take(customer, now);
     if (!std::exchange(exchanges_demand_, true))
         demand_timer_.set_after(quota_shares::exchange_interval);
-    if (!admitted)
-        refuse(exchange, status_too_many_requests, "quota_exceeded", id,
-               quotas_.time_to_token(customer, now));
-    return admitted;
+    if (admitted)
+        return true;
+    log_.write(log_level::info, "quota_exceeded",
+               {{"customer", customer},
+                {"part_per_s", fmt::format("{:.3f}", quotas_.rate_of(customer, now))},
+                {"part_burst", fmt::format("{:.2f}", quotas_.capacity_of(customer, now))}});
+    refuse(exchange, status_too_many_requests, "quota_exceeded", id,
+           quotas_.time_to_token(customer, now));
+    return false;
 }
 
 void gateway::share_quotas(sharing_hosts calling, time_point now)
