--- a/tests/auto/customers/tst_quotashares.cpp
+++ b/tests/auto/customers/tst_quotashares.cpp
@@ -113,6 +113,7 @@
 
     time_point now{1h};
     std::vector<customer_policy> customers;
+    customers.reserve(200);
     std::vector<host_id> ids;
     std::vector<member> members;
     std::vector<time_point> admitted;
@@ -268,6 +269,7 @@
 Test(quota_shares, reports_are_bounded_and_take_turns)
 {
     std::vector<customer_policy> customers;
+    customers.reserve(200);
     for (int it = 0; it < 200; ++it)
         customers.push_back({.name = "c" + std::to_string(it), .per_second = 100, .burst = 100});
     quota_shares shares{host_id{"h"}, bound, time_point{1h}};
