--- a/tests/auto/customers/tst_quotashares.cpp
+++ b/tests/auto/customers/tst_quotashares.cpp
@@ -113,7 +113,6 @@
 
     time_point now{1h};
     std::vector<customer_policy> customers;
-    customers.reserve(200);
     std::vector<host_id> ids;
     std::vector<member> members;
     std::vector<time_point> admitted;
