tst_quotashares: restarted hosts and requests after a window

Cause: the rule that a host which has run for a window finds a full bucket had no test that asks after more than 5 s. Change: a case with 12 restarted hosts that are asked 4.5, 5 and 5.5 s after the burst before; the other cases are unchanged.

--- a/tests/auto/customers/tst_quotashares.cpp
+++ b/tests/auto/customers/tst_quotashares.cpp
@@ -210,6 +210,22 @@
     }
 }
 
+// Failure: the bucket that a restarted host finds full after a window adds to what it let through
+// before the restart.
+Test(quota_shares, full_buckets_after_a_restart_stay_under_the_bound)
+{
+    for (const duration idle : {4500ms, 5000ms, 5500ms}) {
+        quota_fleet f{12, 10, 600};
+        f.run(30s, on_all(0));
+        f.run(400ms, on_all(200));
+        for (std::size_t it = 0; it < 12; ++it)
+            f.restart(it);
+        f.run(idle, on_all(0));
+        f.run(6s, on_all(200));
+        cr_assert(f.worst_window() <= f.allowed(), "%zu of %zu", f.worst_window(), f.allowed());
+    }
+}
+
 // Failure: the part of hosts that have ended for good is lost.
 Test(quota_shares, the_part_of_ended_hosts_is_taken_over)
 {
