--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The stand-ins of cases 6 to 10 are Python programs of the standard library; nothing is compiled.
+# The stand-ins of cases 8 and 10 are Python programs of the standard library; nothing is compiled.
 # scripts/install-dependencies installs python3.
 cd "$(dirname "$0")" || exit 1
 python3 -c 'import ast, glob
