gateway: the key of a request and refused connections in the log

Cause: logs name requests by ids that are new with each repetition, so they cannot show whether the calls that were lost under several upstreams belong to one request, nor whether an upstream has ended or only a connection to it. Change: request_ended states a hash of method, host, target, customer and body, which is the same for each repetition and on all hosts (src/libs/quarantine); upstream_connection_refused is logged once for each incarnation, and such connections are counted. No decision uses them.

--- a/src/libs/gateway/callerrequest.cpp
+++ b/src/libs/gateway/callerrequest.cpp
@@ -17,9 +17,9 @@
 
 } // namespace
 
-caller_request::caller_request(http_exchange exchange, std::string id, fan_out_plan plan,
+caller_request::caller_request(http_exchange exchange, request_name name, fan_out_plan plan,
                                const request_context& context)
-    : exchange_(std::move(exchange)), id_(std::move(id)),
+    : exchange_(std::move(exchange)), name_(std::move(name)),
       fan_out_(std::move(plan), context.fan_out_resources), context_(context),
       timer_(context.timers, [this] {
           const caller_request_pointer self{this};
@@ -71,7 +71,7 @@
     const time_point deadline = fan_out_.plan().deadline;
     upstream_call_plan plan;
     plan.to = action.to;
-    plan.request_id = id_;
+    plan.request_id = name_.id;
     plan.at_most_once = !fan_out_.plan().matched_route->idempotent;
     plan.bodyless_reply = exchange_.request().method == "HEAD";
     plan.encode = [self = caller_request_pointer{this}, to = action.to, number = action.call,
@@ -228,7 +228,8 @@
         return;
     context_.log.write(
         log_level::info, "request_ended",
-        {{"id", id_},
+        {{"id", name_.id},
+         {"request", key_text(name_.key.request)},
          {"route", plan.matched_route->name},
          {"config", plan.routes->configuration().version},
          {"outcome", outcome},
--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -8,6 +8,7 @@
 #include "gateway/upstreampool.h"
 #include "logging/eventlooplogger.h"
 #include "metrics/gatewaymetrics.h"
+#include "quarantine/requestkey.h"
 
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -17,6 +18,17 @@
 
 namespace ebonywick {
 
+/// How a request is named in logs and to upstreams.
+struct request_name
+{
+    // New with each attempt of the caller.
+    std::string id;
+    // The same for each repetition.
+    request_key key;
+
+    auto operator<=>(const request_name&) const = default;
+};
+
 /// Objects that all requests of a host share; they outlive the requests.
 struct request_context
 {
@@ -36,7 +48,7 @@
           boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
-    caller_request(http_exchange exchange, std::string id, fan_out_plan plan,
+    caller_request(http_exchange exchange, request_name name, fan_out_plan plan,
                    const request_context& context);
     ~caller_request();
     caller_request(const caller_request&) = delete;
@@ -70,7 +82,7 @@
     [[nodiscard]] std::string call_summary() const;
 
     http_exchange exchange_;
-    std::string id_;
+    request_name name_;
     fan_out fan_out_;
     request_context context_;
     loop_timer timer_;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -101,7 +101,8 @@
           [this](const upstream_pointer& from, const platform::decoded_reply& reply) {
               on_reply_reported(from, reply);
           },
-          [this](const upstream_pointer& by) { on_leaving_stated(by, "reply"); }),
+          [this](const upstream_pointer& by) { on_leaving_stated(by, "reply"); },
+          [this](const upstream_pointer& by) { on_connection_refused(by); }),
       upstream_updater_(upstreams_, timers, log, metrics_), key_secret_{random_.next(),
                                                                         random_.next()},
       key_freshness_(key_trust_of(settings)),
@@ -291,6 +292,23 @@
                 {"entry", by->entry().leaving ? "leaving" : "ready"}});
 }
 
+void gateway::on_connection_refused(const upstream_pointer& by)
+{
+    metrics_.connection_refused();
+    // Callers come again and again while the entry is still listed; one line tells that nothing
+    // listens there.
+    constexpr std::size_t max_noted = 1024;
+    if (refusing_.size() >= max_noted)
+        refusing_.clear();
+    if (!refusing_.insert(upstream_table::key_of(by->entry())).second)
+        return;
+    log_.write(log_level::info, "upstream_connection_refused",
+               {{"upstream", by->entry().id.value()},
+                {"service", by->entry().service.value()},
+                {"incarnation", by->entry().incarnation},
+                {"entry", by->entry().leaving ? "leaving" : "ready"}});
+}
+
 void gateway::on_pause_stated(const upstream_pointer& by, duration pause)
 {
     const time_point before = by->paused_until();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace ebonywick {
@@ -100,6 +101,7 @@
     // `source` is "reply" or "host".
     void on_leaving_stated(const upstream_pointer& by, std::string_view source);
     void on_pause_stated(const upstream_pointer& by, duration pause);
+    void on_connection_refused(const upstream_pointer& by);
     // `source` as in on_leaving_stated().
     void on_limit_stated(const upstream_pointer& by, const stated_limit& limit,
                          time_point stated_at, std::string_view source);
@@ -202,6 +204,8 @@
     // demand_timer_ is set.
     bool exchanges_demand_ = false;
     std::set<failure_domain_id> domains_out_;
+    // Lifetimes of upstreams at which a refused connection has been logged.
+    std::set<lifetime_key> refusing_;
     collection_watch configuration_watch_;
     collection_watch upstream_watch_;
     collection_watch domain_watch_;
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -112,8 +112,13 @@
     const request_context context{
         timers_, pool_,    {upstreams_, budget_, statistics_, admission_, rollouts},
         log_,    metrics_, quotas_};
+    request_name name{std::move(header.id), make_request_key({.method = message.method,
+                                                              .host = message.field("host"),
+                                                              .target = message.target,
+                                                              .customer = plan.customer,
+                                                              .body = message.body})};
     const caller_request_pointer request{
-        new caller_request{std::move(exchange), std::move(header.id), std::move(plan), context}};
+        new caller_request{std::move(exchange), std::move(name), std::move(plan), context}};
     requests_.push_back(*request);
     request->start();
 }
--- a/src/libs/gateway/upstreamconnection.cpp
+++ b/src/libs/gateway/upstreamconnection.cpp
@@ -61,6 +61,9 @@
 {
     connect_timeout_.cancel();
     if (ec) {
+        const upstream_connection_pointer self{this};
+        if (ec == asio::error::connection_refused)
+            events_.refused(to_);
         close();
         return;
     }
--- a/src/libs/gateway/upstreamconnection.h
+++ b/src/libs/gateway/upstreamconnection.h
@@ -31,6 +31,8 @@
     /// The header of a reply has stated that the upstream is leaving. Also called if the reply
     /// turns out to be incomplete or to belong to another request.
     std::function<void(const upstream_pointer&)> leaving;
+    /// A connection was refused: no process listens at the address.
+    std::function<void(const upstream_pointer&)> refused;
 };
 
 /// Reference-counted; pending operations keep it alive. Bytes that arrive outside of a call, or
--- a/src/libs/gateway/upstreampool.cpp
+++ b/src/libs/gateway/upstreampool.cpp
@@ -10,12 +10,14 @@
     boost::asio::io_context& loop, timer_queue& timers,
     std::function<std::size_t(const upstream&)> connection_limit,
     std::function<void(const upstream_pointer&, const platform::decoded_reply&)> reported,
-    std::function<void(const upstream_pointer&)> leaving)
+    std::function<void(const upstream_pointer&)> leaving,
+    std::function<void(const upstream_pointer&)> refused)
     : loop_(loop), timers_(timers),
       connection_limit_(std::move(connection_limit)), events_{
                                                           [this](const auto& it) { on_ready(it); },
                                                           [this](const auto& it) { on_closed(it); },
-                                                          std::move(reported), std::move(leaving)}
+                                                          std::move(reported), std::move(leaving),
+                                                          std::move(refused)}
 {
 }
 
--- a/src/libs/gateway/upstreampool.h
+++ b/src/libs/gateway/upstreampool.h
@@ -17,12 +17,13 @@
 {
 public:
     /// `connection_limit` returns this host's share of an upstream's connection limit.
-    /// `reported` and `leaving` as in connection_events.
+    /// `reported`, `leaving` and `refused` as in connection_events.
     upstream_pool(
         boost::asio::io_context& loop, timer_queue& timers,
         std::function<std::size_t(const upstream&)> connection_limit,
         std::function<void(const upstream_pointer&, const platform::decoded_reply&)> reported,
-        std::function<void(const upstream_pointer&)> leaving);
+        std::function<void(const upstream_pointer&)> leaving,
+        std::function<void(const upstream_pointer&)> refused);
     ~upstream_pool();
     upstream_pool(const upstream_pool&) = delete;
     upstream_pool& operator=(const upstream_pool&) = delete;
--- a/src/libs/metrics/gatewaymetrics.cpp
+++ b/src/libs/metrics/gatewaymetrics.cpp
@@ -63,6 +63,12 @@
             .Name("ebonywick_gateway_unreadable_objects_total")
             .Help("Objects of the store that were ignored because they cannot be read")
             .Register(registry);
+    Counter& refused_connections =
+        prometheus::BuildCounter()
+            .Name("ebonywick_gateway_refused_connections_total")
+            .Help("Connections that were refused at the addresses of upstreams")
+            .Register(registry)
+            .Add({});
     Counter& store_restorations =
         prometheus::BuildCounter()
             .Name("ebonywick_gateway_store_restorations_total")
@@ -132,6 +138,11 @@
     state_->store_restorations.Increment();
 }
 
+void gateway_metrics::connection_refused()
+{
+    state_->refused_connections.Increment();
+}
+
 std::string gateway_metrics::exposition(const gauges& values)
 {
     const auto set = [&](const char* name, const char* help, double value) {
--- a/src/libs/metrics/gatewaymetrics.h
+++ b/src/libs/metrics/gatewaymetrics.h
@@ -33,6 +33,8 @@
     void store_call(std::string_view outcome);
     /// Objects of a collection of the store were ignored because they cannot be read.
     void objects_unreadable(std::string_view collection, std::size_t count);
+    /// A connection to an upstream was refused: no process listens there.
+    void connection_refused();
     /// A reply has shown that the store was restored from an older copy.
     void store_restored();
 
