--- a/tests/auto/gateway/gatewayfixture.h
+++ b/tests/auto/gateway/gatewayfixture.h
@@ -187,6 +187,8 @@
         for (const auto& it : host_timers)
             it->run_due();
         poll();
+        if (each_step)
+            each_step();
     }
     /// Runs what the sockets have ready, without a change of the time.
     void poll()
@@ -253,6 +255,8 @@
     timer_queue timers{loop, [this] {
                            return by_hand ? hand_time : boot_clock::now();
                        }};
+    // With a clock that is set by hand: called after each step of it.
+    std::function<void()> each_step;
     // With a clock that is set by hand: of hosts whose clocks differ from this one.
     std::vector<std::unique_ptr<timer_queue>> host_timers;
     event_loop_logger log{log_level::error};
