gateway: reject requests that have crashed three upstreams

Requests that ran beside it got 502. Cause: nothing was remembered of a request beyond its attempt. Each host took a lost call for a fault of the upstream, avoided that one for a moment, and sent the next repetition to another. The class of the fault: what one request does to the fleet is judged for each attempt, each host and each upstream alone. Ruled out: hedges and retries (one call for each id), one host that remembers, upstreams that end by themselves. Change: src/libs/quarantine. A loss counts as a crash if the upstream then refuses connections (crash_attribution); three crashes of different attempts, upstreams and moments block a request, six a customer's resource; a stamped reply takes crashes back; the upstreams of a blocked request are explained by it (quarantine). Hosts tell each other at once and with each heartbeat (peer_message::quarantine). Requests that are blocked get 503 with the rest of the block; one host after the other tries them later. Why it works: the evidence adds up over hosts within milliseconds, so that no host depends on its own three crashes; late hosts are told with each heartbeat; innocent requests are cleared by their replies.

--- a/src/libs/fanout/fanout.cpp
+++ b/src/libs/fanout/fanout.cpp
@@ -165,7 +165,7 @@
     it.tried.push_back(to);
     ++it.attempts;
     ++it.open_calls;
-    it.hedge_at = idempotent() ? now + hedge_delay() : time_point::max();
+    it.hedge_at = repeatable() ? now + hedge_delay() : time_point::max();
     const auto number = static_cast<call_number>(calls_.size());
     calls_.push_back({to, index, now, true, false});
     out.emplace_back(start_call{number, to, reason});
@@ -384,7 +384,7 @@
     if (it.open_calls > 0)
         return;
     const bool may_repeat =
-        it.attempts == 0 || (idempotent() && it.attempts < plan_.matched_route->attempts);
+        it.attempts == 0 || (repeatable() && it.attempts < plan_.matched_route->attempts);
     const bool few_refused = it.tried.size() - it.attempts <= max_refused_calls;
     const bool in_time = now + min_time_for_attempt < outcome_deadline_;
     if (may_repeat && few_refused && in_time &&
--- a/src/libs/fanout/fanout.h
+++ b/src/libs/fanout/fanout.h
@@ -155,6 +155,8 @@
     // The caller retries after a refusal. The target latency is measured from this attempt,
     // because the refusal told the caller when to retry.
     bool refused_before = false;
+    // One upstream of each service may run the request: it is neither hedged nor repeated.
+    bool runs_once = false;
 };
 
 /// State of admission at a host.
@@ -232,6 +234,8 @@
     };
 
     [[nodiscard]] bool idempotent() const { return plan_.matched_route->idempotent; }
+    // Whether a second upstream of a service may run the request.
+    [[nodiscard]] bool repeatable() const { return idempotent() && !plan_.runs_once; }
     [[nodiscard]] duration hedge_delay() const;
     // Whether a call took so long that its upstream is paused or slow. `comparison` is the time
     // of a usual call, for as long as that of the route's calls is not known.
--- a/src/libs/gateway/callerrequest.cpp
+++ b/src/libs/gateway/callerrequest.cpp
@@ -1,6 +1,7 @@
 // Executes fan-out actions: starts and abandons upstream calls and encodes the answer.
 #include "gateway/callerrequest.h"
 
+#include "base/hashing.h"
 #include "platform/httpcodec.h"
 
 #include <fmt/format.h>
@@ -15,6 +16,24 @@
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
+// Nothing if the request was not sent.
+std::optional<call_evidence> evidence_of(const call_outcome& outcome)
+{
+    if (const auto* reply = std::get_if<upstream_reply>(&outcome))
+        return reply->stamp.empty() ? call_evidence::answered : call_evidence::ran;
+    switch (std::get<call_failure>(outcome)) {
+    case call_failure::lost:
+        return call_evidence::lost;
+    case call_failure::misdirected:
+        return call_evidence::replaced;
+    case call_failure::shed:
+        return call_evidence::answered;
+    case call_failure::not_sent:
+        break;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 caller_request::caller_request(http_exchange exchange, request_name name, fan_out_plan plan,
@@ -81,6 +100,9 @@
         const duration left = deadline - now;
         if (left <= duration::zero() || !to->accepts_calls(now))
             return {};
+        // Other calls of the request, or of its repetitions, may have crashed upstreams meanwhile.
+        if (!self->name_.trial && self->context_.quarantined.blocks(self->name_.key))
+            return {};
         self->fan_out_.call_sent(number);
         const fan_out_plan& of = self->fan_out_.plan();
         std::optional<std::string_view> customer;
@@ -99,13 +121,19 @@
 void caller_request::execute(const abandon_call& action)
 {
     record_call_end(action.call, "abandoned");
-    if (const auto call = std::move(calls_[action.call]))
-        context_.pool.abandon(call);
+    const auto call = std::move(calls_[action.call]);
+    if (!call)
+        return;
+    if (call->sent())
+        report_evidence(call->plan().to, call_evidence::abandoned);
+    context_.pool.abandon(call);
 }
 
 void caller_request::on_call_ended(call_number number, call_outcome outcome)
 {
     calls_[number] = nullptr;
+    if (const auto evidence = evidence_of(outcome))
+        report_evidence(call_records_[number].to, *evidence);
     if (auto* reply = std::get_if<upstream_reply>(&outcome)) {
         record_call_end(number, reply->success() ? "replied" : "failed");
         handle_event(call_replied{number, std::move(*reply)});
@@ -116,6 +144,14 @@
     handle_event(upstream_call_failed{number, failure});
 }
 
+void caller_request::report_evidence(const upstream_pointer& of, call_evidence evidence) const
+{
+    context_.call_ended(of,
+                        {name_.key, static_cast<std::uint32_t>(stable_hash(name_.id)),
+                         static_cast<std::uint32_t>(stable_hash(of->entry().service.value()))},
+                        evidence);
+}
+
 void caller_request::record_call_end(call_number number, std::string_view result)
 {
     call_record& it = call_records_[number];
--- a/src/libs/gateway/callerrequest.h
+++ b/src/libs/gateway/callerrequest.h
@@ -8,11 +8,12 @@
 #include "gateway/upstreampool.h"
 #include "logging/eventlooplogger.h"
 #include "metrics/gatewaymetrics.h"
-#include "quarantine/requestkey.h"
+#include "quarantine/quarantine.h"
 
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -25,10 +26,26 @@
     std::string id;
     // The same for each repetition.
     request_key key;
+    // See pass_request_once.
+    bool trial = false;
 
     auto operator<=>(const request_name&) const = default;
 };
 
+/// What the end of a call shows about its upstream.
+enum class call_evidence : std::uint8_t {
+    // It has run the request to its end.
+    ran,
+    // It has answered without running the request.
+    answered,
+    // The connection was lost after the request had been sent.
+    lost,
+    // Another process has answered at its address.
+    replaced,
+    // Nothing: the call was given up after it had been sent.
+    abandoned,
+};
+
 /// Objects that all requests of a host share; they outlive the requests.
 struct request_context
 {
@@ -38,6 +55,9 @@
     event_loop_logger& log;
     gateway_metrics& metrics;
     quota_shares& quotas;
+    const quarantine& quarantined;
+    const std::function<void(const upstream_pointer&, const request_run&, call_evidence)>&
+        call_ended;
 };
 
 /// Reference-counted: its open calls and the disconnect callback of its exchange keep it
@@ -76,6 +96,7 @@
     void execute(const abandon_call& action);
     void execute(finish_request& action);
     void on_call_ended(call_number number, call_outcome outcome);
+    void report_evidence(const upstream_pointer& of, call_evidence evidence) const;
     void on_caller_disconnected();
     void record_call_end(call_number number, std::string_view result);
     void record_request_end(std::string_view outcome, int status, std::string_view reason) const;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -106,7 +106,9 @@
       upstream_updater_(upstreams_, timers, log, metrics_), key_secret_{random_.next(),
                                                                         random_.next()},
       key_freshness_(key_trust_of(settings)),
-      quotas_(settings.host, quota_bound_of(settings), timers.now()),
+      quotas_(settings.host, quota_bound_of(settings), timers.now()), quarantine_(settings.host),
+      call_ended_([this](const upstream_pointer& of, const request_run& run,
+                         call_evidence evidence) { on_call_ended(of, run, evidence); }),
       configuration_watch_(loop, timers, settings.store, store_collection::configuration,
                            {.pause = gateway_constants::configuration_pause,
                             .read_freshness = platform::freshness::stale_ok,
@@ -184,6 +186,7 @@
       announcement_timer_(timers, [this] { announce_change(); }),
       follow_timer_(timers, [this] { follow_peers(timers_.now()); }),
       demand_timer_(timers, [this] { exchange_demand(); }),
+      crash_timer_(timers, [this] { tell_crashes(); }),
       verification_timer_(timers, [this] { verify_collections(); })
 {
 }
@@ -295,6 +298,7 @@
 void gateway::on_connection_refused(const upstream_pointer& by)
 {
     metrics_.connection_refused();
+    on_crash(by, attribution_.upstream_ended(upstream_table::key_of(by->entry()), timers_.now()));
     // Callers come again and again while the entry is still listed; one line tells that nothing
     // listens there.
     constexpr std::size_t max_noted = 1024;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -17,6 +17,8 @@
 #include "peers/digestqueries.h"
 #include "peers/peertable.h"
 #include "platform/httpcodec.h"
+#include "quarantine/crashattribution.h"
+#include "quarantine/quarantine.h"
 #include "rollout/rollouttable.h"
 #include "settings/gatewaysettings.h"
 
@@ -63,6 +65,17 @@
     // Takes a token of the quota of the plan's customer. False if it has refused the request.
     [[nodiscard]] bool within_quota(http_exchange& exchange, const std::string& id,
                                     const std::string& customer);
+    // Rejects a request that crashes upstreams; false if it has. Else sets how often it may be
+    // sent.
+    [[nodiscard]] bool outside_quarantine(http_exchange& exchange, request_name& name,
+                                          fan_out_plan& plan);
+    void on_call_ended(const upstream_pointer& of, const request_run& run, call_evidence evidence);
+    // The upstream has ended while these requests ran on it.
+    void on_crash(const upstream_pointer& of, const std::vector<crash_record>& records);
+    // `source` is "own" or "host".
+    void log_quarantine(const std::vector<quarantine_change>& changes, std::string_view source);
+    // Tells the other hosts at once what is new of requests that crash upstreams.
+    void tell_crashes();
     void share_quotas(sharing_hosts calling, time_point now);
     // Tells the hosts that divide the quotas with this one of the demand here.
     void exchange_demand();
@@ -201,6 +214,10 @@
     key_table keys_;
     key_freshness key_freshness_;
     quota_shares quotas_;
+    crash_attribution attribution_;
+    quarantine quarantine_;
+    // Refers to on_call_ended(); passed to all requests.
+    std::function<void(const upstream_pointer&, const request_run&, call_evidence)> call_ended_;
     // demand_timer_ is set.
     bool exchanges_demand_ = false;
     std::set<failure_domain_id> domains_out_;
@@ -277,6 +294,7 @@
     loop_timer announcement_timer_;
     loop_timer follow_timer_;
     loop_timer demand_timer_;
+    loop_timer crash_timer_;
     // Another host has announced a change, which is to be read from it without the usual wait for
     // the store.
     bool change_announced_ = false;
--- a/src/libs/gateway/gatewaycallers.cpp
+++ b/src/libs/gateway/gatewaycallers.cpp
@@ -100,7 +100,14 @@
         refuse(exchange, status_unavailable, "leaving", header.id);
         return;
     }
-    if (!within_quota(exchange, header.id, plan.customer))
+    request_name name{std::move(header.id), make_request_key({.method = message.method,
+                                                              .host = message.field("host"),
+                                                              .target = message.target,
+                                                              .customer = plan.customer,
+                                                              .body = message.body})};
+    if (!outside_quarantine(exchange, name, plan))
+        return;
+    if (!within_quota(exchange, name.id, plan.customer))
         return;
     if (const auto* choice = std::get_if<service_choice>(&matched_route->target))
         plan.service = pick_weighted_service(*choice);
@@ -110,13 +117,9 @@
         statistics_.update_max_budget(matched_route->name, budget) - budget > min_budget_loss;
     rollout_table* const rollouts = rollouts_.enabled() ? &rollouts_ : nullptr;
     const request_context context{
-        timers_, pool_,    {upstreams_, budget_, statistics_, admission_, rollouts},
-        log_,    metrics_, quotas_};
-    request_name name{std::move(header.id), make_request_key({.method = message.method,
-                                                              .host = message.field("host"),
-                                                              .target = message.target,
-                                                              .customer = plan.customer,
-                                                              .body = message.body})};
+        timers_,     pool_,      {upstreams_, budget_, statistics_, admission_, rollouts},
+        log_,        metrics_,   quotas_,
+        quarantine_, call_ended_};
     const caller_request_pointer request{
         new caller_request{std::move(exchange), std::move(name), std::move(plan), context}};
     requests_.push_back(*request);
@@ -171,6 +174,7 @@
          .calls_to_leaving_upstreams = upstreams_.calls_to_leaving(),
          .paused_upstreams = upstreams_.paused_count(timers_.now()),
          .calls_to_paused_upstreams = upstreams_.calls_to_paused(),
+         .blocked_requests = quarantine_.blocked_count(),
          .upstream_connections = pool_.connection_count(),
          .upstream_connections_opened = pool_.connections_opened(),
          .caller_connections = caller_server_.session_count(),
--- a/src/libs/gateway/gatewaypeers.cpp
+++ b/src/libs/gateway/gatewaypeers.cpp
@@ -40,6 +40,7 @@
     budget_.set_host_count(std::max(sharing_hosts_, sharing.count()));
     upstreams_.set_sharing_hosts(sharing, now);
     share_quotas(sharing, now);
+    quarantine_.set_sharing_hosts(sharing);
     const bool calls = std::find(sharing.known.begin(), sharing.known.end(), settings_.host) !=
                        sharing.known.end();
     rollouts_.set_sharing_hosts(calls ? sharing.count() : 0);
@@ -83,7 +84,8 @@
     return {.heartbeat = own_heartbeat(),
             .limits = upstreams_.limit_reports(now),
             .leaving_upstreams = upstreams_.leaving_reports(now),
-            .sent_at = reads_newest_ ? now : time_point{}};
+            .sent_at = reads_newest_ ? now : time_point{},
+            .quarantine = quarantine_.report(now)};
 }
 
 void gateway::announce_change()
@@ -142,6 +144,9 @@
             pass_on_announcement();
         }
     }
+    std::vector<quarantine_change> changes;
+    quarantine_.merge(message.quarantine, now, changes);
+    log_quarantine(changes, "host");
     on_rollout_reports(message, now);
     for (const limit_report& it : message.limits) {
         if (const upstream_pointer of = upstreams_.find_reported(it.upstream))
--- a/src/libs/gateway/upstreamcall.h
+++ b/src/libs/gateway/upstreamcall.h
@@ -46,6 +46,8 @@
     void end(call_outcome outcome);
     /// No outcome is reported any more. Releases what the functions of the plan keep alive.
     void abandon();
+    /// The request has been sent, and the call has not ended.
+    [[nodiscard]] bool sent() const { return connection_ != nullptr; }
     /// Neither ended nor abandoned.
     [[nodiscard]] bool open() const { return plan_.ended != nullptr; }
 
--- a/src/libs/gateway/upstreampool.cpp
+++ b/src/libs/gateway/upstreampool.cpp
@@ -173,6 +173,13 @@
     return true;
 }
 
+void upstream_pool::check(const upstream_pointer& to)
+{
+    pool_entry& it = entry_of(to);
+    if (it.count < connection_limit_(*to))
+        open(to, it);
+}
+
 void upstream_pool::trim(duration max_idle)
 {
     std::vector<upstream_connection_pointer> unusable;
--- a/src/libs/gateway/upstreampool.h
+++ b/src/libs/gateway/upstreampool.h
@@ -35,6 +35,8 @@
 
     /// Opens a connection to an upstream that has none. Returns false if it has one.
     bool warm(const upstream_pointer& to);
+    /// Opens a connection if there is room for one, to see whether the upstream refuses it.
+    void check(const upstream_pointer& to);
     /// Closes connections that have expired, have been idle for `max_idle` or whose upstream is
     /// unusable, and removes the entries of upstreams that are gone; to be called about once a
     /// second.
--- a/src/libs/metrics/gatewaymetrics.cpp
+++ b/src/libs/metrics/gatewaymetrics.cpp
@@ -69,6 +69,18 @@
             .Help("Connections that were refused at the addresses of upstreams")
             .Register(registry)
             .Add({});
+    Counter& upstream_crashes =
+        prometheus::BuildCounter()
+            .Name("ebonywick_gateway_upstream_crashes_total")
+            .Help("Upstreams that have ended while calls of this host ran on them")
+            .Register(registry)
+            .Add({});
+    Counter& quarantined_requests =
+        prometheus::BuildCounter()
+            .Name("ebonywick_gateway_quarantined_requests_total")
+            .Help("Requests that were rejected because they crash upstreams")
+            .Register(registry)
+            .Add({});
     Counter& store_restorations =
         prometheus::BuildCounter()
             .Name("ebonywick_gateway_store_restorations_total")
@@ -143,6 +155,16 @@
     state_->refused_connections.Increment();
 }
 
+void gateway_metrics::upstream_crashed()
+{
+    state_->upstream_crashes.Increment();
+}
+
+void gateway_metrics::request_quarantined()
+{
+    state_->quarantined_requests.Increment();
+}
+
 std::string gateway_metrics::exposition(const gauges& values)
 {
     const auto set = [&](const char* name, const char* help, double value) {
@@ -170,6 +192,9 @@
         static_cast<double>(values.paused_upstreams));
     set("ebonywick_gateway_calls_to_paused_upstreams", "Calls to such upstreams since the start",
         static_cast<double>(values.calls_to_paused_upstreams));
+    set("ebonywick_gateway_blocked_requests",
+        "Requests that are rejected because they crash upstreams",
+        static_cast<double>(values.blocked_requests));
     set("ebonywick_gateway_upstream_connections", "Open connections to upstreams",
         static_cast<double>(values.upstream_connections));
     set("ebonywick_gateway_upstream_connections_opened", "Connections opened since the start",
--- a/src/libs/metrics/gatewaymetrics.h
+++ b/src/libs/metrics/gatewaymetrics.h
@@ -35,6 +35,10 @@
     void objects_unreadable(std::string_view collection, std::size_t count);
     /// A connection to an upstream was refused: no process listens there.
     void connection_refused();
+    /// An upstream has ended while calls of this host ran on it.
+    void upstream_crashed();
+    /// A request was rejected because it crashes upstreams.
+    void request_quarantined();
     /// A reply has shown that the store was restored from an older copy.
     void store_restored();
 
@@ -53,6 +57,8 @@
         // Upstreams that have asked this host for a pause.
         std::size_t paused_upstreams = 0;
         std::uint64_t calls_to_paused_upstreams = 0;
+        // Requests, and resources of customers, that are blocked because they crash upstreams.
+        std::size_t blocked_requests = 0;
         std::size_t upstream_connections = 0;
         // Connections opened since the start.
         std::uint64_t upstream_connections_opened = 0;
--- a/src/libs/peers/hostrecord.cpp
+++ b/src/libs/peers/hostrecord.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <limits>
 
 namespace ebonywick {
 
@@ -98,6 +99,56 @@
     return out;
 }
 
+// Rounded up, so that what is told does not look newer than it is.
+std::uint32_t encode_report_age(duration age)
+{
+    using std::chrono::milliseconds;
+    const auto ms = std::chrono::ceil<milliseconds>(age).count();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(ms, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+void encode_quarantine(const quarantine_report& report, wire::EntryHeartbeat& into)
+{
+    for (const crash_report& it : report.crashes) {
+        wire::CrashReport& out = *into.add_crashes();
+        out.set_request(it.run.key.request);
+        out.set_resource(it.run.key.resource);
+        out.set_attempt(it.run.attempt);
+        out.set_service(it.run.service);
+        out.set_upstream(it.upstream);
+        out.set_age_ms(encode_report_age(it.age));
+    }
+    for (const block_report& it : report.blocks) {
+        wire::BlockReport& out = *into.add_blocks();
+        out.set_key(it.key);
+        out.set_strikes(it.strikes);
+        out.set_services(it.services);
+        out.set_age_ms(encode_report_age(it.age));
+    }
+    for (const release_report& it : report.releases) {
+        wire::ReleaseReport& out = *into.add_releases();
+        out.set_key(it.key);
+        out.set_service(it.service);
+        out.set_age_ms(encode_report_age(it.age));
+    }
+}
+
+quarantine_report decode_quarantine(const wire::EntryHeartbeat& in)
+{
+    using std::chrono::milliseconds;
+    quarantine_report out;
+    for (const wire::CrashReport& it : in.crashes())
+        out.crashes.push_back({{{it.request(), it.resource()}, it.attempt(), it.service()},
+                               it.upstream(),
+                               milliseconds{it.age_ms()}});
+    for (const wire::BlockReport& it : in.blocks())
+        out.blocks.push_back({it.key(), it.strikes(), it.services(), milliseconds{it.age_ms()}});
+    for (const wire::ReleaseReport& it : in.releases())
+        out.releases.push_back({it.key(), it.service(), milliseconds{it.age_ms()}});
+    return out;
+}
+
 } // namespace
 
 bool applied_revisions::is_ahead_of(const applied_revisions& other) const
@@ -199,6 +250,7 @@
     }
     for (const rollout_report& it : message.rollouts)
         encode_rollout(it, *out.add_rollout_reports());
+    encode_quarantine(message.quarantine, out);
     return out.SerializeAsString();
 }
 
@@ -242,6 +294,7 @@
             return std::nullopt;
         out.rollouts.push_back(*std::move(report));
     }
+    out.quarantine = decode_quarantine(in);
     for (int it = 0; it < in.limit_upstream_size(); ++it) {
         const double rate = in.limit_rate(it);
         if (!std::isfinite(rate))
--- a/src/libs/peers/hostrecord.h
+++ b/src/libs/peers/hostrecord.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/identifiers.h"
+#include "quarantine/crashrecord.h"
 #include "rollout/rolloutreport.h"
 #include "settings/declaration.h"
 #include "upstreams/statedlimit.h"
@@ -132,6 +133,8 @@
     std::vector<customer_demand> customers = {};
     // Counts and verdicts of open roll-outs; some of them, in turn.
     std::vector<rollout_report> rollouts = {};
+    // Requests that crash upstreams.
+    quarantine_report quarantine = {};
 
     auto operator<=>(const peer_message&) const = default;
 };
--- a/tests/auto/gateway/crashingfleet.h
+++ b/tests/auto/gateway/crashingfleet.h
@@ -56,9 +56,17 @@
     void begin(std::size_t host, const std::string& method, const std::string& target,
                const std::string& body = "")
     {
-        begun.push_back(std::make_unique<http_channel>(loop, timers, callers[host]));
-        begun.back()->call(request_text(method, target, "r" + std::to_string(++requests), body), 5s,
-                           [](const std::optional<http_message>&) {});
+        begun_.push_back(std::make_unique<http_channel>(loop, timers, callers[host]));
+        begun_.back()->call(request_text(method, target, "r" + std::to_string(++requests), body),
+                            5s, [](const std::optional<http_message>&) {});
+    }
+    /// Begins a request whose caller leaves after `stay`.
+    void begin_and_leave(std::size_t host, const std::string& method, const std::string& target,
+                         const std::string& body, duration stay)
+    {
+        begin(host, method, target, body);
+        run(stay);
+        begun_.pop_back();
     }
     /// Runs of requests with this body, or with this target if they have none, that began after
     /// `since`; in upstreams that have ended as well.
@@ -70,7 +78,7 @@
                     return it.at >= since && (it.body.empty() ? it.target : it.body) == text;
                 }));
         };
-        std::size_t out = counts(past_runs);
+        std::size_t out = counts(past_runs_);
         for (const auto& it : upstreams)
             out += it ? counts(it->runs()) : 0;
         return out;
@@ -81,9 +89,9 @@
     void crash(std::size_t index)
     {
         const auto& runs = upstreams[index]->runs();
-        past_runs.insert(past_runs.end(), runs.begin(), runs.end());
+        past_runs_.insert(past_runs_.end(), runs.begin(), runs.end());
         upstreams[index].reset();
-        down_until[index] = hand_time + down_time;
+        down_until_[index] = hand_time + down_time;
     }
 
     // Bodies, or targets without a body, under which upstreams end.
@@ -101,10 +109,10 @@
 private:
     void rename(std::size_t index)
     {
-        ids[index] = "u" + std::to_string(++lifetimes);
+        ids[index] = "u" + std::to_string(++lifetimes_);
         if (upstreams[index])
             upstreams[index]->set_id(ids[index]);
-        entries[index]["born"] = lifetimes;
+        entries[index]["born"] = lifetimes_;
     }
     bool runs_fatal_request(const standin::platform_upstream& it) const
     {
@@ -119,7 +127,7 @@
             if (upstreams[it] && runs_fatal_request(*upstreams[it])) {
                 crash(it);
                 crashes.push_back(hand_time);
-            } else if (!upstreams[it] && hand_time >= down_until[it]) {
+            } else if (!upstreams[it] && hand_time >= down_until_[it]) {
                 store.remove("servers", ids[it]);
                 rename(it);
                 const std::string address = entries[it]["address"];
@@ -131,10 +139,10 @@
         }
     }
 
-    std::size_t lifetimes = 0;
-    std::map<std::size_t, time_point> down_until;
-    std::vector<standin::platform_upstream::run> past_runs;
-    std::vector<std::unique_ptr<http_channel>> begun;
+    std::size_t lifetimes_ = 0;
+    std::map<std::size_t, time_point> down_until_;
+    std::vector<standin::platform_upstream::run> past_runs_;
+    std::vector<std::unique_ptr<http_channel>> begun_;
 };
 
 } // namespace ebonywick
