httpstream: statuses outside of 100 to 599 are no reply

What callers saw: the answer with status 600, 700 or 999 of an upstream in trouble, stamp and body included; with 000, 001, 010 or 099 without a body nothing until the route's timeout, then 504. Cause: Beast accepts any three digits, and the host took every status below 200 for an interim reply and passed on all others. Statuses that are not three digits were malformed before, too (1, 99, 1000, 20x, signs, blanks, none). Change: the reader reports such a reply as malformed, for upstreams, the store and other hosts alike; the call counts as lost. Result: tst_replystatus failed on: '000', '001', '010' and '099' without a body 504, '600', '700' and '999' passed on with and without a body; the other ten forms, and the valid statuses at the borders, were right. All pass now. serve compares the status with the four that it knows and takes all others for a lost call (upstreamlink.cpp), so it cannot pass one on.

--- a/src/libs/httpstream/messagereader.cpp
+++ b/src/libs/httpstream/messagereader.cpp
@@ -20,6 +20,10 @@
 using error_code = boost::system::error_code;
 using beast_view = boost::beast::string_view;
 
+// The classes of statuses are 1 to 5.
+constexpr int min_status = 100;
+constexpr int max_status = 599;
+
 std::string copy(beast_view text)
 {
     return std::string{text.data(), text.size()};
@@ -51,9 +55,11 @@
         message.method = copy(method_text);
         message.target = copy(target);
     }
-    void on_response_impl(int code, beast_view /*reason*/, int /*version*/,
-                          error_code& /*ec*/) override
+    void on_response_impl(int code, beast_view /*reason*/, int /*version*/, error_code& ec) override
     {
+        // Beast accepts any three digits.
+        if (code < min_status || code > max_status)
+            ec = http::error::bad_status;
         message.status = code;
     }
     void on_field_impl(http::field name, beast_view name_text, beast_view value,
