upstreamlink: replies without end are bounded and end at the timeout

Cause: cpp-httplib reads a head line by line without a limit, each byte restarts its read timeout, and its progress callback, which bounded a call, is only called for the body. Bodies were bounded in time, not in size. Ruled out: the gateway; tst_endlessbytes has 14 such forms, interim replies among them, which end at limits of 16 kB and 1 MB. Change: link_channel sends a request over Boost.Asio and reads the reply with the message reader of the gateway, within 16 kB of header, 4 MB of body, four interim replies and one deadline; stop() ends it from another thread. Not changed: the clients of the store and of operators, which still read heads by cpp-httplib.

--- a/src/libs/upstreamlink/cancelsender.cpp
+++ b/src/libs/upstreamlink/cancelsender.cpp
@@ -1,7 +1,9 @@
 // Queue and thread that send cancellations to upstreams.
 #include "upstreamlink/upstreamlink.h"
 
-#include <httplib.h>
+#include "upstreamlink/linkchannel.h"
+
+#include <fmt/format.h>
 
 #include <condition_variable>
 #include <deque>
@@ -25,16 +27,21 @@
 /// Connection to one upstream.
 struct upstream_client
 {
-    explicit upstream_client(const endpoint& upstream) : client(upstream.ip, upstream.port)
+    explicit upstream_client(const endpoint& upstream) : to(upstream), channel(upstream, {}) {}
+
+    // False if the upstream has not answered in time.
+    bool cancel(const call_id& id)
     {
-        client.set_keep_alive(true);
-        client.set_tcp_nodelay(true);
-        client.set_connection_timeout(cancel_timeout);
-        client.set_read_timeout(cancel_timeout);
-        client.set_write_timeout(cancel_timeout);
+        if (!channel.is_open() && !channel.connect(cancel_timeout))
+            return false;
+        std::string request = fmt::format("DELETE /calls/{} HTTP/1.1\r\n", to_string(id));
+        append_field(request, "Host", to_string(to));
+        request.append("Content-Length: 0\r\n\r\n");
+        return channel.exchange(request, cancel_timeout).has_value();
     }
 
-    httplib::Client client;
+    endpoint to;
+    link_channel channel;
     time_point paused_until{};
 };
 
@@ -53,8 +60,8 @@
     // Elements are never removed while the thread runs, so that a client can be used
     // without the mutex.
     std::map<endpoint, upstream_client> clients;
-    // Client that sends at this time; null if none.
-    httplib::Client* current = nullptr;
+    // Channel that is in use at this time; null if none.
+    link_channel* current = nullptr;
     std::thread thread;
 };
 
@@ -70,12 +77,12 @@
         upstream_client& to = clients.try_emplace(upstream, upstream).first->second;
         if (boot_clock::now() < to.paused_until)
             continue;
-        current = &to.client;
+        current = &to.channel;
         guard.unlock();
-        const httplib::Result res = to.client.Delete("/calls/" + to_string(id));
+        const bool answered = to.cancel(id);
         guard.lock();
         current = nullptr;
-        if (!res)
+        if (!answered)
             to.paused_until = boot_clock::now() + failure_pause;
     }
     ended = true;
--- a/src/libs/upstreamlink/upstreamlink.cpp
+++ b/src/libs/upstreamlink/upstreamlink.cpp
@@ -1,12 +1,12 @@
-// HTTP client of one link and the thread that uses it.
+// Calls and health checks of one link and the thread that makes them.
 #include "upstreamlink/upstreamlink.h"
 
 #include "upstreamlink/jsonscan.h"
+#include "upstreamlink/linkchannel.h"
 
-#include <httplib.h>
+#include <fmt/format.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -18,11 +18,8 @@
 namespace {
 
 constexpr duration connect_timeout = std::chrono::milliseconds{500};
-// Address for documentation (RFC 5737), which no host can bind. As the client's
-// source address it makes each attempt to connect fail.
-constexpr const char* unbindable_address = "192.0.2.1";
-// Interval at which the destructor repeats stop() until the thread has ended.
-constexpr duration stop_interval = std::chrono::milliseconds{5};
+// Largest body of a reply.
+constexpr message_limits reply_limits{.body_bytes = std::uint64_t{4} << 20U};
 
 struct probe_task
 {
@@ -31,32 +28,28 @@
 
 using task = std::variant<std::monostate, link_call, probe_task>;
 
-/// At least 1 ms, because httplib does not wait at all with a timeout of zero.
-duration clamp_to_minimum_timeout(duration d)
+/// A body without a length ends when the connection closes, so a truncated body
+/// cannot be distinguished from a complete one.
+bool has_explicit_length(const http_message& res)
 {
-    return std::max<duration>(d, std::chrono::milliseconds{1});
+    return res.has_field("Content-Length") || res.has_field("Transfer-Encoding");
 }
 
-/// False if the upstream closed the connection or sent bytes without a request.
-bool is_connection_open(const httplib::Client& client)
+std::string request_text(std::string_view method, std::string_view target, const endpoint& to,
+                         const std::vector<std::pair<std::string_view, std::string>>& fields,
+                         std::string_view body)
 {
-    if (!client.is_socket_open())
-        return false;
-    char byte = 0;
-    const ssize_t n = recv(client.socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-/// A body without a length ends when the connection closes, so a truncated body
-/// cannot be distinguished from a complete one.
-bool has_explicit_length(const httplib::Response& res)
-{
-    return res.has_header("Content-Length") || res.has_header("Transfer-Encoding");
+    std::string out = fmt::format("{} {} HTTP/1.1\r\n", method, target);
+    append_field(out, "Host", to_string(to));
+    for (const auto& [name, value] : fields)
+        append_field(out, name, value);
+    append_field(out, "Content-Length", std::to_string(body.size()));
+    return out.append("\r\n").append(body);
 }
 
 /// Fills `reply` from the response; its status stays `lost` if the response is not
 /// valid. Takes the body out of `res` for an order.
-void evaluate_response(httplib::Response& res, bool idempotent, link_reply& reply)
+void evaluate_response(http_message& res, bool idempotent, link_reply& reply)
 {
     if (!has_explicit_length(res))
         return;
@@ -89,60 +82,36 @@
 struct upstream_link::state
 {
     state(std::uint32_t n, const endpoint& upstream, link_handlers h)
-        : number(n), handlers(std::move(h)), client(upstream.ip, upstream.port)
+        : number(n), to(upstream), handlers(std::move(h)), channel(upstream, reply_limits)
     {
-        client.set_keep_alive(true);
-        client.set_tcp_nodelay(true);
-        client.set_url_encode(false);
-        client.set_connection_timeout(connect_timeout);
-        client.set_write_timeout(connect_timeout);
     }
 
     void run();
     void open();
-    bool send(httplib::Request& req, httplib::Response& res, duration timeout,
-              httplib::Error& error);
     link_probed check_health(duration timeout);
     void make_call(const link_call& call);
     void set_task(task next);
 
     const std::uint32_t number;
+    const endpoint to;
     const link_handlers handlers;
-    httplib::Client client;
+    link_channel channel;
     std::mutex mutex;
     std::condition_variable wake;
-    // Guarded by mutex, up to `ended`. At most one task is pending at a time.
+    // Guarded by mutex, both. At most one task is pending at a time.
     task pending;
     bool stopping = false;
-    bool ended = false;
     std::thread thread;
 };
 
-bool upstream_link::state::send(httplib::Request& req, httplib::Response& res, duration timeout,
-                                httplib::Error& error)
-{
-    timeout = clamp_to_minimum_timeout(timeout);
-    const time_point until = boot_clock::now() + timeout;
-    client.set_read_timeout(timeout);
-    // The read timeout bounds each single read; this bounds the whole response.
-    req.progress = [until](std::uint64_t, std::uint64_t) {
-        return boot_clock::now() < until;
-    };
-    return client.send(req, res, error);
-}
-
 link_probed upstream_link::state::check_health(duration timeout)
 {
-    httplib::Request req;
-    req.method = "GET";
-    req.path = "/health";
-    httplib::Response res;
-    httplib::Error error{};
     link_probed result;
     result.link = number;
-    if (!send(req, res, timeout, error) || res.status != 200 || !has_explicit_length(res))
+    const auto res = channel.exchange(request_text("GET", "/health", to, {}, ""), timeout);
+    if (!res || res->status != 200 || !has_explicit_length(*res))
         return result;
-    if (const auto fields = scan_reply(res.body)) {
+    if (const auto fields = scan_reply(res->body)) {
         result.answered = true;
         result.reported = fields->state;
         result.boot_id = fields->boot_id;
@@ -152,13 +121,10 @@
 
 void upstream_link::state::open()
 {
-    const link_probed health = check_health(connect_timeout);
+    const link_probed health = channel.connect(connect_timeout) ? check_health(connect_timeout)
+                                                                : link_probed{number, false};
     if (health.answered)
         handlers.on_probe(health);
-    // httplib reconnects by itself if it finds the connection closed right before a
-    // write. The call would then be written long after may_send was checked, so
-    // further connects are made to fail.
-    client.set_interface(unbindable_address);
     handlers.on_opened({number, health.answered});
 }
 
@@ -167,41 +133,43 @@
     link_reply reply;
     reply.id = call.id;
     reply.link = number;
-    if (!is_connection_open(client)) {
+    if (!channel.is_open()) {
         reply.not_sent = true;
         handlers.on_reply(reply);
         return;
     }
-    httplib::Request req;
-    req.method = "POST";
-    req.path = call.idempotent ? "/search" : "/order";
     const auto ms = std::chrono::ceil<std::chrono::milliseconds>(call.timeout).count();
-    req.headers = {{"Content-Type", "application/json"},
-                   {"X-Call-Id", to_string(call.id)},
-                   {"X-Deadline-Ms", std::to_string(ms)},
-                   {"X-Index-Version", std::to_string(call.wanted.version)},
-                   {"X-Shard-Epoch", std::to_string(call.wanted.epoch)},
-                   {"X-Shard", call.shard.value()}};
+    std::vector<std::pair<std::string_view, std::string>> fields{
+        {"Content-Type", "application/json"},
+        {"X-Call-Id", to_string(call.id)},
+        {"X-Deadline-Ms", std::to_string(ms)},
+        {"X-Index-Version", std::to_string(call.wanted.version)},
+        {"X-Shard-Epoch", std::to_string(call.wanted.epoch)},
+        {"X-Shard", call.shard.value()}};
     if (!call.idempotent)
-        req.headers.emplace("X-Idempotency-Key", call.idempotency_key.empty()
+        fields.emplace_back("X-Idempotency-Key", call.idempotency_key.empty()
                                                      ? to_string(call.id.request)
                                                      : call.idempotency_key);
-    req.body = call.body;
-    httplib::Response res;
-    httplib::Error error{};
+    const std::string request =
+        request_text("POST", call.idempotent ? "/search" : "/order", to, fields, call.body);
     if (!handlers.may_send(call.timeout)) {
         reply.status = reply_status::cancelled;
         reply.not_sent = true;
         handlers.on_reply(reply);
         return;
     }
+    // The connection may have closed meanwhile, and is not opened again: the call would be written
+    // long after may_send was checked.
+    if (!channel.is_open()) {
+        reply.not_sent = true;
+        handlers.on_reply(reply);
+        return;
+    }
     const time_point begin = boot_clock::now();
-    const bool answered = send(req, res, call.timeout, error);
+    auto res = channel.exchange(request, call.timeout);
     reply.latency = boot_clock::now() - begin;
-    if (answered)
-        evaluate_response(res, call.idempotent, reply);
-    else
-        reply.not_sent = error == httplib::Error::BindIPAddress;
+    if (res)
+        evaluate_response(*res, call.idempotent, reply);
     handlers.on_reply(reply);
 }
 
@@ -220,12 +188,9 @@
         if (const auto* call = std::get_if<link_call>(&next))
             make_call(*call);
         else if (const auto* probe = std::get_if<probe_task>(&next))
-            handlers.on_probe(is_connection_open(client) ? check_health(probe->timeout)
-                                                         : link_probed{number, false});
+            handlers.on_probe(channel.is_open() ? check_health(probe->timeout)
+                                                : link_probed{number, false});
     }
-    const std::scoped_lock guard{mutex};
-    ended = true;
-    wake.notify_all();
 }
 
 void upstream_link::state::set_task(task next)
@@ -249,12 +214,7 @@
         std::unique_lock guard{state_->mutex};
         state_->stopping = true;
         state_->wake.notify_all();
-        // Repeated, because stop() has no effect on a request that begins after it.
-        while (!state_->wake.wait_for(guard, stop_interval, [&] { return state_->ended; })) {
-            guard.unlock();
-            state_->client.stop();
-            guard.lock();
-        }
+        state_->channel.stop();
     }
     state_->thread.join();
 }
--- a/src/libs/upstreamlink/upstreamlink.h
+++ b/src/libs/upstreamlink/upstreamlink.h
@@ -73,8 +73,7 @@
 public:
     upstream_link(std::uint32_t number, const endpoint& upstream, link_handlers handlers);
     /// Closes the connection, which ends the call in progress, and joins the thread;
-    /// the caller must not hold a lock that the handlers take. May wait up to 500 ms
-    /// for a connection that is being opened.
+    /// the caller must not hold a lock that the handlers take.
     ~upstream_link();
     upstream_link(const upstream_link&) = delete;
     upstream_link& operator=(const upstream_link&) = delete;
--- a/tests/auto/upstreamlink/rawserver.h
+++ b/tests/auto/upstreamlink/rawserver.h
@@ -37,6 +37,8 @@
     bool close_after = false;
     // Then sends single bytes until the client closes the connection.
     bool endless_body = false;
+    // Then sends this text until the client closes the connection.
+    std::string endless = {};
 };
 
 class raw_server
@@ -131,6 +133,9 @@
             send(fd, reply.bytes.data(), reply.bytes.size(), MSG_NOSIGNAL);
             while (reply.endless_body && send(fd, " ", 1, MSG_NOSIGNAL) == 1)
                 std::this_thread::sleep_for(std::chrono::milliseconds{1});
+            const std::string& text = reply.endless;
+            while (!text.empty() && send(fd, text.data(), text.size(), MSG_NOSIGNAL) > 0)
+                ;
             if (reply.close_after) {
                 shutdown(fd, SHUT_RDWR);
                 return;
