soak: requests under which upstreams end

Cause: the soak had no upstream that ends, so it could not show a request that ends one after the other, nor whether hosts that are killed, stopped or restarted at random learn of it.

--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -1,6 +1,6 @@
-// Emulates a small platform in one process: a store, and the upstreams of several shards
-// and of one order service. Used by the soak test and for manual tests. Faults are injected
-// over HTTP.
+// Emulates a small platform in one process: a store, and the upstreams of several shards, of one
+// order service and of a fragile service, whose upstreams end under certain requests. Used by the
+// soak test and for manual tests. Faults are injected over HTTP.
 #include "platformstore.h"
 #include "platformupstream.h"
 
@@ -8,15 +8,21 @@
 #include <fmt/format.h>
 #include <popt.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <exception>
+#include <map>
 
 using namespace ebonywick;
 using nlohmann::json;
 
 namespace {
 
+// How often upstreams that run a fatal request end, and how long they are down.
+constexpr duration crash_interval = std::chrono::milliseconds{2};
+constexpr duration down_time = std::chrono::milliseconds{1500};
+
 struct emulator_options
 {
     int base_port = 0;
@@ -40,8 +46,12 @@
         for (int shard = 0; shard < options_.shards; ++shard)
             add_service(fmt::format("shard{}", shard));
         add_service("orders");
+        first_fragile_ = upstreams_.size();
+        add_service("fragile");
+        add_service("fragile");
         write_configuration(1);
         copy_ = store_.copy();
+        crash_timer_.set_after(crash_interval);
     }
 
 private:
@@ -52,31 +62,86 @@
 
     void add_service(const std::string& service)
     {
-        services_.push_back(service);
+        if (services_.empty() || services_.back() != service)
+            services_.push_back(service);
         for (int replica = 0; replica < options_.replicas; ++replica) {
-            const auto at = address(2 + static_cast<int>(upstreams_.size()));
-            const auto id = fmt::format("i-{}-{}", service, replica);
-            upstreams_.push_back(std::make_unique<standin::platform_upstream>(
-                loop_, timers_, at, standin::upstream_options{.id = id}));
-            store_.put("servers", id,
-                       {{"backend", service},
-                        {"address", to_string(at)},
-                        {"zone", fmt::format("z{}", replica % 3)},
-                        {"version", "v1"},
-                        {"slots", 4},
-                        {"state", "ready"},
-                        {"cold_remaining_ms", 0},
-                        {"sequence", 1},
-                        {"born", 1}});
+            upstreams_.emplace_back();
+            start_upstream(upstreams_.size() - 1, service,
+                           fmt::format("i-{}-{}", service, replica));
+        }
+    }
+    void start_upstream(std::size_t index, const std::string& service, std::string id)
+    {
+        if (service == "fragile")
+            id = fmt::format("i-fragile-{}", ++lifetimes_);
+        ids_[index] = id;
+        upstreams_[index] = std::make_unique<standin::platform_upstream>(
+            loop_, timers_, address(2 + static_cast<int>(index)),
+            standin::upstream_options{.id = id});
+        write_entry(index, service);
+    }
+    void write_entry(std::size_t index, const std::string& service)
+    {
+        store_.put("servers", ids_[index],
+                   {{"backend", service},
+                    {"address", to_string(address(2 + static_cast<int>(index)))},
+                    {"zone", fmt::format("z{}", index % 3)},
+                    {"version", "v1"},
+                    {"slots", 4},
+                    {"state", "ready"},
+                    {"cold_remaining_ms", 0},
+                    {"sequence", 1},
+                    {"born", lifetimes_ + 1}});
+    }
+    // The upstreams that have started since the copy write their entries again.
+    void repeat_fragile_entries()
+    {
+        for (std::size_t it = first_fragile_; it < upstreams_.size(); ++it) {
+            if (upstreams_[it])
+                write_entry(it, "fragile");
         }
     }
 
+    // Ends the upstreams that run a fatal request, and starts them again some time later.
+    void crash_and_restart()
+    {
+        const time_point now = timers_.now();
+        for (std::size_t it = first_fragile_; it < upstreams_.size(); ++it) {
+            if (!upstreams_[it]) {
+                if (now >= down_until_[it]) {
+                    store_.remove("servers", ids_[it]);
+                    start_upstream(it, "fragile", "");
+                }
+                continue;
+            }
+            const auto& runs = upstreams_[it]->runs();
+            const bool fatal = std::any_of(runs.begin(), runs.end(), [](const auto& each) {
+                return each.target.starts_with("/f/fatal");
+            });
+            if (!fatal)
+                continue;
+            past_runs_.insert(past_runs_.end(), runs.begin(), runs.end());
+            upstreams_[it].reset();
+            down_until_[it] = now + down_time;
+        }
+        crash_timer_.set_after(crash_interval);
+    }
+    [[nodiscard]] std::vector<standin::platform_upstream::run> all_runs() const
+    {
+        auto out = past_runs_;
+        for (const auto& it : upstreams_) {
+            if (it)
+                out.insert(out.end(), it->runs().begin(), it->runs().end());
+        }
+        return out;
+    }
+
     void write_configuration(int version)
     {
         json shards = json::array();
         json backends = json::array();
         for (const std::string& it : services_) {
-            if (it != "orders")
+            if (it.starts_with("shard"))
                 shards.push_back(it);
             backends.push_back({{"name", it},
                                 {"max_connections", 64},
@@ -93,9 +158,13 @@
                                {"timeout_ms", 3000},   {"target_latency_ms", 600},
                                {"priority", 1},        {"backend", "orders"},
                                {"attempts", 2}};
+        const json fragile_route{
+            {"name", "fragile"},    {"hostname", "soak.example"}, {"path_prefix", "/f/"},
+            {"type", "idempotent"}, {"timeout_ms", 1500},         {"target_latency_ms", 300},
+            {"priority", 1},        {"backend", "fragile"},       {"attempts", 1}};
         store_.put("config", "main",
                    {{"version", version},
-                    {"routes", json::array({query_route, order_route})},
+                    {"routes", json::array({query_route, order_route, fragile_route})},
                     {"backends", backends},
                     {"limits",
                      {{"max_header_bytes", 16384},
@@ -104,23 +173,24 @@
                       {"idle_timeout_ms", 15000}}}});
     }
 
-    // GET /runs returns the requests that the upstreams ran, GET /arrivals the times in ms at which
-    // requests have reached each upstream, GET /leaving when each has first stated in a reply that
-    // it is leaving. POST with any other path takes a command: {"store": {...}, "fail": [upstream,
-    // fault, count], ...}.
+    // GET /runs returns the requests that the upstreams ran and when, in ms, GET /arrivals the
+    // times in ms at which requests have reached each upstream, GET /leaving when each has first
+    // stated in a reply that it is leaving. POST with any other path takes a command: {"store":
+    // {...}, "fail": [upstream, fault, count], ...}.
     void serve_admin(http_exchange exchange)
     {
         json reply = json::object();
         if (exchange.request().target == "/runs") {
             reply = json::array();
-            for (const auto& it : upstreams_) {
-                for (const auto& each : it->runs())
-                    reply.push_back({each.request_id, each.method, each.target});
-            }
+            for (const auto& it : all_runs())
+                reply.push_back({it.request_id, it.method, it.target,
+                                 to_milliseconds(it.at.time_since_epoch())});
         } else if (exchange.request().target == "/arrivals") {
             reply = json::array();
             for (const auto& it : upstreams_) {
                 json times = json::array();
+                if (!it)
+                    continue;
                 for (const time_point at : it->arrivals())
                     times.push_back(to_milliseconds(at.time_since_epoch()));
                 reply.push_back(std::move(times));
@@ -128,6 +198,8 @@
         } else if (exchange.request().target == "/leaving") {
             reply = json::array();
             for (const auto& it : upstreams_) {
+                if (!it)
+                    continue;
                 const auto& at = it->stated_leaving_at();
                 reply.push_back(at ? json(to_milliseconds(at->time_since_epoch())) : json());
             }
@@ -158,8 +230,10 @@
             store_.cut_watches();
         if (command.value("keep_copy", false))
             copy_ = store_.copy();
-        if (command.value("restore", false))
+        if (command.value("restore", false)) {
             store_.restore(copy_);
+            repeat_fragile_entries();
+        }
         if (command.contains("version"))
             write_configuration(command["version"].get<int>());
         if (command.contains("fail")) {
@@ -197,8 +271,18 @@
     standin::platform_store store_;
     standin::store_copy copy_;
     std::vector<std::string> services_;
+    // Null while an upstream of the fragile service is down; these are the last ones.
     std::vector<std::unique_ptr<standin::platform_upstream>> upstreams_;
+    std::size_t first_fragile_ = 0;
+    std::size_t lifetimes_ = 0;
+    std::map<std::size_t, std::string> ids_;
+    std::map<std::size_t, time_point> down_until_;
+    // Of upstreams that have ended.
+    std::vector<standin::platform_upstream::run> past_runs_;
     http_server admin_;
+    loop_timer crash_timer_{timers_, [this] {
+                                crash_and_restart();
+                            }};
 };
 
 } // namespace
