gateway: a request sent ahead is dispatched once it is whole

Cause: when an answer has been sent and the next request is complete, a call of dispatch() is posted. Bytes that arrive before it runs dispatch that request already; if it is refused at once, the session is no longer busy, and the posted call took the incomplete request after it for a malformed one. Change: the posted call does nothing while the reader needs more bytes.

--- a/src/libs/gateway/httpsession.cpp
+++ b/src/libs/gateway/httpsession.cpp
@@ -316,7 +316,9 @@
         // Posted, because pipelined requests that are answered at once would otherwise recurse
         // once for each request.
         asio::post(server_.loop_, [self = http_session_pointer{this}] {
-            if (!self->closed_ && !self->busy())
+            // Bytes that came meanwhile may have started it already, and the next one may be
+            // incomplete.
+            if (!self->closed_ && !self->busy() && self->reader_.state() != read_state::need_more)
                 self->dispatch();
         });
         return;
--- a/tests/auto/gateway/tst_httpserver.cpp
+++ b/tests/auto/gateway/tst_httpserver.cpp
@@ -191,3 +191,46 @@
     for (auto& it : clients)
         cr_assert(send(it, 100) == refused);
 }
+
+// A client sends requests ahead, more than one read takes, and the end of the last one some time
+// later; all are refused at once. Guards against a request that is answered as malformed because it
+// has not arrived as a whole yet.
+Test(http_server, requests_sent_ahead_are_answered_once_they_are_whole)
+{
+    namespace asio = boost::asio;
+    constexpr int requests = 16;
+    asio::io_context loop{1};
+    timer_queue timers{loop, boot_clock::now};
+    const endpoint address = free_address();
+    const std::string refused = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    const std::string malformed = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
+    http_server server{loop,
+                       timers,
+                       address,
+                       {[&](http_exchange it) { it.answer(refused, after_answer::keep_open); },
+                        [&](const bad_request&) {
+                            return malformed;
+                        }}};
+    const std::string one =
+        "GET /a HTTP/1.1\r\nHost: t\r\nX-Filler: " + std::string(400, 'x') + "\r\n\r\n";
+    std::string all;
+    for (int it = 0; it < requests; ++it)
+        all += one;
+    for (std::size_t cut = 1; cut < one.size(); cut += 29) {
+        asio::ip::tcp::socket client{loop};
+        client.connect({asio::ip::make_address(address.ip), address.port});
+        asio::write(client, asio::buffer(std::string_view{all}.substr(0, all.size() - cut)));
+        loop.run_for(20ms);
+        asio::write(client, asio::buffer(std::string_view{all}.substr(all.size() - cut)));
+        std::string received(requests * refused.size(), ' ');
+        bool complete = false;
+        asio::async_read(client, asio::buffer(received),
+                         [&](const boost::system::error_code& ec, std::size_t) { complete = !ec; });
+        loop.run_for(50ms);
+        std::string expected;
+        for (int it = 0; it < requests; ++it)
+            expected += refused;
+        cr_assert(complete && received == expected, "cut %zu: %s", cut,
+                  received.find(malformed) != std::string::npos ? "malformed" : "incomplete");
+    }
+}
