httpstream: other transfer codings than chunked are malformed

Cause: Beast leaves codings other than a final chunked to its user, and treats the body as absent; nothing checked them. Requests with chunked beside a length, two lengths and malformed lengths were rejected already. Change: a message is malformed unless the field is "chunked", alone and once, in HTTP/1.1: requests get 400 and the connection ends, replies are no answer. No other coding is served, so none needs 501.

--- a/src/libs/httpstream/messagereader.cpp
+++ b/src/libs/httpstream/messagereader.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <optional>
+#include <utility>
 #include <variant>
 
 namespace ebonywick {
@@ -23,6 +24,8 @@
 // The classes of statuses are 1 to 5.
 constexpr int min_status = 100;
 constexpr int max_status = 599;
+// HTTP/1.1; see message_parser::version_.
+constexpr int first_chunked_version = 11;
 
 std::string copy(beast_view text)
 {
@@ -50,21 +53,29 @@
 
 private:
     void on_request_impl(http::verb /*method*/, beast_view method_text, beast_view target,
-                         int /*version*/, error_code& /*ec*/) override
+                         int version, error_code& /*ec*/) override
     {
+        version_ = version;
         message.method = copy(method_text);
         message.target = copy(target);
     }
-    void on_response_impl(int code, beast_view /*reason*/, int /*version*/, error_code& ec) override
+    void on_response_impl(int code, beast_view /*reason*/, int version, error_code& ec) override
     {
+        version_ = version;
         // Beast accepts any three digits.
         if (code < min_status || code > max_status)
             ec = http::error::bad_status;
         message.status = code;
     }
     void on_field_impl(http::field name, beast_view name_text, beast_view value,
-                       error_code& /*ec*/) override
+                       error_code& ec) override
     {
+        // Beast takes a body with other codings for none, so that its bytes would be the next
+        // message.
+        if (name == http::field::transfer_encoding &&
+            (!boost::beast::iequals(value, "chunked") || version_ < first_chunked_version ||
+             std::exchange(has_coding_, true)))
+            ec = http::error::bad_transfer_encoding;
         if (name == http::field::expect && boost::beast::iequals(value, "100-continue"))
             expects_continue = true;
         message.fields.emplace_back(copy(name_text), copy(value));
@@ -99,6 +110,9 @@
     }
 
     const body_sink* sink_;
+    // As 10 times the major one and the minor one.
+    int version_ = 0;
+    bool has_coding_ = false;
 };
 
 using any_parser = std::variant<message_parser<true>, message_parser<false>>;
--- a/tests/auto/httpstream/tst_messagereader.cpp
+++ b/tests/auto/httpstream/tst_messagereader.cpp
@@ -66,6 +66,36 @@
     }
 }
 
+// Guards against a body that is read as the next request: its end is unknown if the last coding is
+// another one than chunked, or if it is not clear which codings there are (RFC 9112, 6.1 and 6.3).
+Test(message_reader, other_codings_than_chunked_are_malformed)
+{
+    for (const std::string fields :
+         {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n",
+          "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked, gzip\r\n",
+          "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, chunked\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n", "Transfer-Encoding:\r\n",
+          "Transfer-Encoding: \"chunked\"\r\n", "Transfer-Encoding: chunked;a=b\r\n"}) {
+        message_reader request{message_kind::request, {}};
+        cr_expect(request.feed("POST / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n") ==
+                      read_state::malformed,
+                  "request with %s", fields.c_str());
+        message_reader reply{message_kind::reply, {}};
+        cr_expect(reply.feed("HTTP/1.1 200 OK\r\n" + fields + "\r\n") == read_state::malformed,
+                  "reply with %s", fields.c_str());
+    }
+    message_reader old{message_kind::request, {}};
+    cr_expect(old.feed("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n") ==
+              read_state::malformed);
+    for (const std::string value : {"chunked", "CHUNKED", " chunked \t"}) {
+        message_reader request{message_kind::request, {}};
+        cr_expect(request.feed("POST / HTTP/1.1\r\nTransfer-Encoding: " + value +
+                               "\r\n\r\n1\r\na\r\n0\r\n\r\n") == read_state::complete,
+                  "%s", value.c_str());
+    }
+}
+
 // Guards against handing over a chunked body incompletely or with its framing.
 Test(message_reader, chunks_are_joined)
 {
