platform stand-in: entries of fragile upstreams that have ended lapse when the store is restored

The platform removes such entries after three silent heartbeat intervals, so a host that goes by them is right, and the check stays as it is. Change: the stand-in removes them when it restores the store.

--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -93,9 +93,19 @@
                     {"sequence", 1},
                     {"born", lifetimes_ + 1}});
     }
-    // The upstreams that have started since the copy write their entries again.
+    // The upstreams that have started since the copy write their entries again. Those of upstreams
+    // that have ended since then lapse.
     void repeat_fragile_entries()
     {
+        std::vector<std::string> lapsed;
+        for (const auto& [name, object] : store_.objects("servers")) {
+            const bool current = std::any_of(ids_.begin(), ids_.end(),
+                                             [&](const auto& it) { return it.second == name; });
+            if (!current)
+                lapsed.push_back(name);
+        }
+        for (const std::string& it : lapsed)
+            store_.remove("servers", it);
         for (std::size_t it = first_fragile_; it < upstreams_.size(); ++it) {
             if (upstreams_[it])
                 write_entry(it, "fragile");
