--- a/tests/auto/gateway/tst_httpserver.cpp
+++ b/tests/auto/gateway/tst_httpserver.cpp
@@ -203,12 +203,12 @@
     timer_queue timers{loop, boot_clock::now};
     const endpoint address = free_address();
     const std::string refused = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-    const std::string malformed = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
+    std::string malformed = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
     http_server server{loop,
                        timers,
                        address,
                        {[&](http_exchange it) { it.answer(refused, after_answer::keep_open); },
-                        [&](const bad_request&) {
+                        [&malformed](const bad_request&) {
                             return malformed;
                         }}};
     const std::string one =
--- a/tests/auto/upstreamlink/tst_upstreamlink.cpp
+++ b/tests/auto/upstreamlink/tst_upstreamlink.cpp
@@ -274,7 +274,9 @@
         {ok + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + block + "\r\n"},
         {ok + "Transfer-Encoding: chunked\r\n\r\n", block},
         {ok + "\r\n", block}};
-    for (const auto& [begin, endless] : forms) {
+    for (const auto& form : forms) {
+        const std::string& begin = form.first;
+        const std::string& endless = form.second;
         raw_server server{[&](const std::string& request) {
             return request.starts_with("GET /health") ? answer{healthy}
                                                       : answer{begin, false, false, endless};
--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -98,7 +98,8 @@
     void repeat_fragile_entries()
     {
         std::vector<std::string> lapsed;
-        for (const auto& [name, object] : store_.objects("servers")) {
+        for (const auto& entry : store_.objects("servers")) {
+            const std::string& name = entry.first;
             const bool current = std::any_of(ids_.begin(), ids_.end(),
                                              [&](const auto& it) { return it.second == name; });
             if (!current)
