--- a/src/libs/quarantine/quarantine.cpp
+++ b/src/libs/quarantine/quarantine.cpp
@@ -108,13 +108,13 @@
     std::stable_partition(ordered.begin(), ordered.end(),
                           [&](const crash_record* it) { return blocks(it->run.key); });
     for (const crash_record* it : ordered) {
-        count(it->run.key.request, false, *it, now, out);
-        count(it->run.key.resource, true, *it, now, out);
+        count_for(it->run.key.request, false, *it, now, out);
+        count_for(it->run.key.resource, true, *it, now, out);
     }
 }
 
-void quarantine::count(std::uint64_t key, bool resource, const crash_record& it, time_point now,
-                       std::vector<quarantine_change>& out)
+void quarantine::count_for(std::uint64_t key, bool resource, const crash_record& it, time_point now,
+                           std::vector<quarantine_change>& out)
 {
     // What other hosts tell arrives a little later than it happened.
     const time_point latest = it.at - constants::same_moment;
--- a/src/libs/quarantine/quarantine.h
+++ b/src/libs/quarantine/quarantine.h
@@ -160,8 +160,8 @@
 
     void count(const std::vector<crash_record>& records, time_point now,
                std::vector<quarantine_change>& out);
-    void count(std::uint64_t key, bool resource, const crash_record& it, time_point now,
-               std::vector<quarantine_change>& out);
+    void count_for(std::uint64_t key, bool resource, const crash_record& it, time_point now,
+                   std::vector<quarantine_change>& out);
     void block(std::uint64_t key, record& of, time_point now, std::vector<quarantine_change>& out);
     // Other requests that ran on the upstreams of a blocked one are not to blame.
     void explain_crashes(std::uint64_t by, const record& of);
