--- a/src/libs/httpstream/messagereader.cpp
+++ b/src/libs/httpstream/messagereader.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/http/error.hpp>
 
 #include <optional>
-#include <utility>
 #include <variant>
 
 namespace ebonywick {
@@ -73,8 +72,7 @@
         // Beast takes a body with other codings for none, so that its bytes would be the next
         // message.
         if (name == http::field::transfer_encoding &&
-            (!boost::beast::iequals(value, "chunked") || version_ < first_chunked_version ||
-             std::exchange(has_coding_, true)))
+            (!boost::beast::iequals(value, "chunked") || version_ < first_chunked_version))
             ec = http::error::bad_transfer_encoding;
         if (name == http::field::expect && boost::beast::iequals(value, "100-continue"))
             expects_continue = true;
@@ -112,7 +110,6 @@
     const body_sink* sink_;
     // As 10 times the major one and the minor one.
     int version_ = 0;
-    bool has_coding_ = false;
 };
 
 using any_parser = std::variant<message_parser<true>, message_parser<false>>;
